Keep the gate true to the engine; free staged bytes; drain at shutdown

Cause: an agent that restarted beside a loaded engine neither served nor re-staged; staged bytes were never freed; an entry's shutdown refused requests before readiness had been withdrawn. Change: an engine watch adopts or closes; seeds keep bytes for late joiners, others free them once idle; readiness goes first, then the listener.

--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from zinniadyke.agent import _engine_watch
 from zinniadyke.agent import _fence
 from zinniadyke.agent import _gate
 from zinniadyke.agent import _orders
@@ -22,6 +23,7 @@
 LOG = logging.getLogger(__name__)
 
 FOLLOW_S = 0.2
+LINGER_MS = 500
 MIB = 1 << 20
 
 
@@ -70,6 +72,7 @@
         self.stager = _stager.Stager(
             node=self.node,
             service=self.service,
+            gate=self.gate,
             budget_bytes=settings.staging_mib * MIB,
             upload=weights.TokenBucket(
                 bytes_per_s=settings.upload_mib_s * MIB, burst_bytes=MIB
@@ -86,6 +89,15 @@
             incarnation=self.node.incarnation,
             drain_s=settings.drain_s,
         )
+        self.watch = _engine_watch.EngineWatch(
+            gate=self.gate,
+            fence=self.fence,
+            stager=self.stager,
+            client=self.client,
+            busy=self.orders.lock.locked,
+        )
+        self.runner.verify = self.watch.verify
+        self.watch_task: eventlet.greenthread.GreenThread | None = None
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
@@ -102,13 +114,12 @@
             eventlet.spawn(self._follow),
         ]
 
-    def stop(self) -> None:
+    def stop(self, linger_ms: int = 0) -> None:
         """Stop at once, as a process that dies would."""
         for task in self.tasks:
             task.kill()
-        for task in self.stager.tasks.values():
-            task.kill()
-        self.node.stop()
+        self.stager.stop()
+        self.node.stop(linger_ms)
 
     def shut_down(self) -> bool:
         """Refuse new work, let work in progress end, then stop.
@@ -118,17 +129,16 @@
         bool
             Whether all work ended within the grace.
         """
-        self.gate.leaving = True
+        self.gate.shutting_down = True
         ended = self.gate.drain(self.settings.grace_s)
-        eventlet.sleep(FOLLOW_S)
-        self.stop()
+        self.stop(LINGER_MS)
         return ended
 
     def status(self) -> peers.Status:
         """Return the agent's status."""
         gate = self.gate
         state = gate.state
-        if gate.leaving and state is peers.GateState.SERVING:
+        if gate.refusing and state is peers.GateState.SERVING:
             state = peers.GateState.DRAINING
         return peers.Status(
             host=self.node.me.name,
@@ -142,7 +152,7 @@
             slots=gate.slots,
             revision=self.node.store.revision,
             progress=self.stager.progress,
-            waiting=self.stager.waiting,
+            waiting=self.orders.waiting or self.stager.waiting,
         )
 
     def _answer_status(self, inbound: peers.Inbound) -> None:
@@ -162,12 +172,14 @@
             return
         self.gate.slots = service.slots
         self.gate.leaving = self._leaving()
+        self.runner.verifies = self._needs_read_back(service)
         if service.kind is objects.ServiceKind.PLAIN:
             if self.gate.state is peers.GateState.CLOSED:
                 self.client.state()
                 self.gate.open("")
-        else:
-            self._adopt_loaded()
+        elif not self.watch_task:
+            self.watch_task = eventlet.spawn(self.watch.run)
+            self.tasks.append(self.watch_task)
 
     def _leaving(self) -> bool:
         target = self.node.configuration.get("target", self.node.me.name)
@@ -176,5 +188,7 @@
         mine = [h for h in self.node.sync.hosts if h.name == self.node.me.name]
         return any(h.state is platform.HostState.LEAVING for h in mine)
 
-    def _adopt_loaded(self) -> None:
-        """Open the gate for what an engine held before this agent began."""
+    def _needs_read_back(self, service: objects.Service) -> bool:
+        """Return whether a former agent could still load the engine."""
+        is_model = service.kind is objects.ServiceKind.MODEL
+        return is_model and not service.checks_fencing
--- a/zinniadyke/agent/_gate.py
+++ b/zinniadyke/agent/_gate.py
@@ -35,11 +35,17 @@
         self.version = ""
         self.slots = 0
         self.leaving = False
+        self.shutting_down = False
         self.running: dict[AttemptKey, eventlet.greenthread.GreenThread] = {}
         self.ended: collections.OrderedDict[AttemptKey, float] = (
             collections.OrderedDict()
         )
 
+    @property
+    def refusing(self) -> bool:
+        """Whether new work is refused although a version serves."""
+        return self.leaving or self.shutting_down
+
     def open(self, version: str) -> None:
         """Admit requests for ``version``."""
         self.version = version
@@ -60,7 +66,7 @@
         """
         if key in self.ended or key in self.running:
             raise errors.RequestError(code=errors.ResultCode.ATTEMPT_CLOSED)
-        if self.leaving or self.state is not peers.GateState.SERVING:
+        if self.refusing or self.state is not peers.GateState.SERVING:
             raise errors.RequestError(code=errors.ResultCode.DRAINING)
         if version != self.version:
             raise errors.RequestError(code=errors.ResultCode.VERSION_CHANGED)
--- a/zinniadyke/agent/_orders.py
+++ b/zinniadyke/agent/_orders.py
@@ -11,6 +11,7 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import peers
+from zinniadyke import telemetry
 from zinniadyke import weights
 
 LOG = logging.getLogger(__name__)
@@ -43,6 +44,7 @@
         self.incarnation = incarnation
         self.drain_s = drain_s
         self.lock = semaphore.Semaphore()
+        self.waiting = 0
 
     def activate(self, inbound: peers.Inbound) -> None:
         """Answer an Activate order once it has ended."""
@@ -52,8 +54,11 @@
         try:
             with self.lock:
                 self._activate(order)
+            self.waiting = 0
         except errors.ZinniadykeError as error:
             code, detail = error.code, error.message
+            self.waiting = code.number
+            telemetry.count(telemetry.Metric.ACTIVATIONS_FAILED)
             LOG.warning(
                 "activation failed",
                 extra={
@@ -89,6 +94,7 @@
         )
         self._read_back(order.version, stage.manifest)
         self.gate.open(order.version)
+        telemetry.count(telemetry.Metric.ACTIVATIONS)
         self.stager.activated(order.version)
 
     def _check(self, order: peers.Activate) -> None:
--- a/zinniadyke/agent/_runner.py
+++ b/zinniadyke/agent/_runner.py
@@ -33,6 +33,8 @@
         self.gate = gate
         self.client = client
         self.incarnation = incarnation
+        self.verifies = False
+        self.verify = lambda version: True
 
     def run(self, inbound: peers.Inbound) -> None:
         """Run one attempt; its last message is always an End."""
@@ -97,6 +99,11 @@
                 sent[0] += 1
         finally:
             answer.close()
+        if self.verifies and not self.verify(message.version):
+            raise errors.EngineError(
+                "the engine was loaded anew under the request",
+                code=errors.ResultCode.STREAM_BROKEN,
+            )
 
     def _begin(
         self, message: peers.Run, answer: engine.EngineStream
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -1,9 +1,12 @@
 """Stages the versions that current rollouts want."""
 
 import logging
+import time
 
 import eventlet
+from eventlet import event
 
+from zinniadyke.agent import _gate
 from zinniadyke.control import _node
 from zinniadyke import errors
 from zinniadyke import ids
@@ -11,13 +14,14 @@
 from zinniadyke import origin
 from zinniadyke import peers
 from zinniadyke import platform
+from zinniadyke import telemetry
 from zinniadyke import weights
 
 LOG = logging.getLogger(__name__)
 
 POLL_S = 1.0
 RETRY_S = 2.0
-RETAIN_HOSTS = 2
+RETAIN_IDLE_S = 20.0
 ORIGIN_COPIES_FOR_TIME = 4
 APPEAR_TIMEOUT_S = 20.0
 
@@ -27,6 +31,8 @@
 
     Parameters
     ----------
+    gate
+        The target's gate, which tells what serves.
     budget_bytes
         Memory for staged weights.
     upload, download
@@ -38,6 +44,7 @@
         *,
         node: _node.Node,
         service: ids.ServiceName,
+        gate: _gate.Gate,
         budget_bytes: int,
         upload: weights.TokenBucket,
         download: weights.TokenBucket,
@@ -45,60 +52,103 @@
         """Start with nothing staged."""
         self.node = node
         self.service = service
+        self.gate = gate
         self.budget_bytes = budget_bytes
         self.upload = upload
         self.download = download
         self.origin_client = origin.OriginClient()
         self.stages: dict[str, weights.Stage] = {}
+        self.manifests: dict[str, weights.Manifest] = {}
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
-        self.done: set[str] = set()
+        self.served_at: dict[str, float] = {}
+        self.freed: set[str] = set()
         self.waiting = 0
+        self.engine_checked = event.Event()
 
     def run(self) -> None:
-        """Follow the configuration until killed."""
+        """Follow the configuration until killed.
+
+        Nothing is fetched before it is known what the engine holds.
+        """
+        self.engine_checked.wait()
         while True:
             revision = self.node.store.revision
             wanted = self.wanted()
             for name in [n for n in self.stages if n not in wanted]:
                 self._drop(name)
-            for name, digest in wanted.items():
-                self._start(name, digest)
+            for name, version in wanted.items():
+                self._start(name, version)
+                self._free_if_idle(name)
             self.node.store.wait_above(revision, POLL_S)
 
+    def stop(self) -> None:
+        """Stop fetching."""
+        for task in self.tasks.values():
+            task.kill()
+
     def wanted(self) -> dict[str, objects.Version]:
-        """Return ``model/version`` of each current rollout."""
+        """Return the versions, as ``model/version``, to stage here."""
         configuration = self.node.configuration
         found = {}
         for model in configuration.models_of(self.service):
             current = configuration.current_rollout(model)
             if current is None:
                 continue
-            version = configuration.get("version", current[1].version, model)
+            if configuration.is_held(model) and self.gate.version:
+                continue
+            name = f"{model}/{current[1].version}"
+            version = self._declared(name)
             if version is not None:
-                found[f"{model}/{current[1].version}"] = version
+                found[name] = version
         return found
 
     def serve(self, inbound: peers.Inbound) -> None:
         """Answer GetChunk: at once, or once the chunk has arrived."""
         message = inbound.message
         name, index = message.version, message.index
-        stage = self.stages.get(name)
-        data = stage.chunks.get(index) if stage else None
-        if data is None and name not in self.done:
+        data = self._held(name, index)
+        if data is None and message.wait and name not in self.freed:
             inbound.reply(peers.ChunkPending(version=name, index=index))
-            stage = stage or self._wait_stage(name)
+            stage = self._wait_stage(name)
             data = stage.wait(index) if stage else None
         if data is None:
             inbound.reply(peers.ChunkMissing(version=name, index=index))
             return
+        self.served_at[name] = time.monotonic()
         self.upload.take(len(data))
         inbound.reply(peers.ChunkFound(version=name, index=index), data)
 
     def activated(self, name: str) -> None:
-        """Keep or free a version's bytes once the engine has them."""
-        model = name.partition("/")[0]
-        eventlet.spawn(self._free_when_complete, name, model)
+        """Note that the engine has a version; it is freed when idle."""
+        self.served_at[name] = time.monotonic()
+
+    def restage(self, name: str) -> None:
+        """Fetch a version again, since the engine has lost it."""
+        self.freed.discard(name)
+
+    def note_engine_checked(self) -> None:
+        """Let ``run`` begin to fetch."""
+        if not self.engine_checked.ready():
+            self.engine_checked.send()
+
+    def load_manifest(self, name: str) -> weights.Manifest | None:
+        """Return a declared version's manifest; None if not declared.
+
+        Raises
+        ------
+        WeightsError
+            The manifest cannot be had.
+        """
+        if name in self.manifests:
+            return self.manifests[name]
+        version = self._declared(name)
+        if version is None:
+            return None
+        stage = weights.Stage(digest=ids.Digest(version.digest))
+        fetcher = self._fetcher(name, version, stage)
+        self.manifests[name] = fetcher.fetch_manifest()
+        return self.manifests[name]
 
     @property
     def progress(self) -> float:
@@ -109,14 +159,26 @@
         """Return the versions whose chunks are all verified."""
         return [name for name, s in self.stages.items() if s.complete]
 
+    def _declared(self, name: str) -> objects.Version | None:
+        model, _, version = name.partition("/")
+        return self.node.configuration.get("version", version, model)
+
+    def _held(self, name: str, index: int) -> bytes | None:
+        if index == weights.MANIFEST_INDEX and name in self.manifests:
+            return self.manifests[name].encode()
+        stage = self.stages.get(name)
+        return stage.chunks.get(index) if stage else None
+
     def _wait_stage(self, name: str) -> weights.Stage | None:
         with eventlet.Timeout(APPEAR_TIMEOUT_S, False):
-            while name not in self.stages:
+            while name not in self.stages and name not in self.freed:
                 eventlet.sleep(POLL_S / 20)
         return self.stages.get(name)
 
     def _start(self, name: str, version: objects.Version) -> None:
-        if name in self.stages or name in self.done:
+        if name in self.stages or name in self.freed:
+            return
+        if self.gate.version == name and not self._is_seed(name):
             return
         stage = weights.Stage(digest=ids.Digest(version.digest))
         self.stages[name] = stage
@@ -129,8 +191,10 @@
             try:
                 fetcher = self._fetcher(name, version, stage)
                 self.fetchers[name] = fetcher
+                self.manifests[name] = fetcher.fetch_manifest()
                 fetcher.run()
                 self.waiting = 0
+                _count_sources(fetcher.counts)
                 return
             except errors.ZinniadykeError as error:
                 self.waiting = error.code.number
@@ -152,27 +216,47 @@
         copies = 1
         if current and current[1].favour is objects.Favour.TIME:
             copies = ORIGIN_COPIES_FOR_TIME
+        others = sum(s.size for n, s in self.stages.items() if n != name)
         return weights.ChunkFetcher(
             me=self.node.me,
             version=name,
             source=version.source,
             stage=stage,
-            placement=lambda: weights.Placement.of(self._hosts(), name),
+            placement=lambda: self._placement(name),
             connect=self.node.connect,
             origin_client=self.origin_client,
             origin_copies=copies,
+            budget_bytes=max(1, self.budget_bytes - others),
             ingress=self.download,
         )
 
-    def _hosts(self) -> list[platform.Host]:
-        return self.node.hosts(platform.HostRole.TARGET, self.service)
+    def _placement(self, name: str) -> weights.Placement:
+        hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
+        return weights.Placement.of(hosts, name)
 
-    def _free_when_complete(self, name: str, model: str) -> None:
-        return
+    def _free_if_idle(self, name: str) -> None:
+        """Free a version that serves here and that no peer asks for."""
+        if name not in self.stages or self.gate.version != name:
+            return
+        idle_s = time.monotonic() - self.served_at.get(name, 0.0)
+        if idle_s >= RETAIN_IDLE_S and not self._is_seed(name):
+            self.freed.add(name)
+            self._drop(name)
+
+    def _is_seed(self, name: str) -> bool:
+        seeds = weights.seeds(self._placement(name))
+        return self.node.me.name in [host.name for host in seeds]
 
     def _drop(self, name: str) -> None:
         task = self.tasks.pop(name, None)
         if task is not None:
             task.kill()
-        self.fetchers.pop(name, None)
         self.stages.pop(name).close()
+
+
+def _count_sources(counts: weights.SourceCounts) -> None:
+    peer_bytes = counts.same_zone + counts.other_zone
+    metric = telemetry.Metric
+    telemetry.count(metric.CHUNKS_ORIGIN_BYTES, counts.origin)
+    telemetry.count(metric.CHUNKS_PEER_BYTES, peer_bytes)
+    telemetry.count(metric.CHUNKS_CORRUPT, counts.corrupt)
--- a/zinniadyke/control/_node.py
+++ b/zinniadyke/control/_node.py
@@ -68,6 +68,12 @@
             if host.role is role and service in (None, host.service)
         ]
 
+    def live_entries(self) -> int:
+        """Return the number of entries that are not leaving."""
+        live = platform.HostState.LIVE
+        entries = self.hosts(platform.HostRole.ENTRY)
+        return sum(1 for host in entries if host.state is live)
+
     def connect(self, host: platform.Host) -> peers.PeerConnection:
         """Return the connection to a host's process."""
         return self.connect_address(host.peer)
@@ -85,11 +91,17 @@
         self.server.start()
         self.sync.start()
 
-    def stop(self) -> None:
-        """Close everything at once."""
+    def stop(self, linger_ms: int = 0) -> None:
+        """Close everything.
+
+        Parameters
+        ----------
+        linger_ms
+            Time for messages that are still to be sent, in ms.
+        """
         self.sync.stop()
-        self.server.stop()
+        self.server.stop(linger_ms)
         for connection in self.connections.values():
             connection.close()
         eventlet.sleep(0)
-        self.context.destroy(linger=0)
+        self.context.destroy(linger=linger_ms)
--- a/zinniadyke/control/_rollouts.py
+++ b/zinniadyke/control/_rollouts.py
@@ -137,10 +137,11 @@
         )
 
     def _advance(self, rollout, name, hosts, statuses, progress) -> None:
+        held = self.node.configuration.is_held(rollout.model)
         ready = [
             status
             for status in statuses.values()
-            if name in status.staged and not serves(status, name)
+            if name in status.staged and may_swap(status, name, held)
         ]
         room = wanted_count(rollout, hosts) - progress.serving
         permits = self.book.step(
@@ -156,6 +157,9 @@
         for status in ready:
             if permits.out.get(status.host) == status.incarnation:
                 self._order(status, name, hosts)
+            elif not status.waiting:
+                code = errors.ResultCode.WAITING_FLOOR.number
+                progress.waiting[status.host] = code
 
     def _order(
         self, status: peers.Status, name: str, hosts: list[platform.Host]
@@ -207,6 +211,13 @@
     return status.gate is peers.GateState.SERVING and status.version == name
 
 
+def may_swap(status: peers.Status, name: str, held: bool) -> bool:
+    """Return whether a target may be told to serve ``name``."""
+    if held and status.gate is peers.GateState.SERVING:
+        return False
+    return not serves(status, name)
+
+
 def wanted_count(rollout: objects.Rollout, hosts: list) -> int:
     """Return how many targets the rollout wants."""
     if rollout.replicas <= 0:
--- a/zinniadyke/control/_store.py
+++ b/zinniadyke/control/_store.py
@@ -10,6 +10,7 @@
 from zinniadyke.control import _accept
 from zinniadyke import objects
 from zinniadyke import peers
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -56,6 +57,7 @@
             self.history.append(delta)
         changed, self.changed = self.changed, event.Event()
         changed.send()
+        telemetry.gauge(telemetry.Metric.CONFIG_REVISION, self.revision)
         return True
 
     def wait_above(self, revision: int, timeout_s: float) -> bool:
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -11,6 +11,7 @@
 from zinniadyke.entry import _pool
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -105,6 +106,7 @@
             return _run(call, pool, attempt)
         except errors.RequestError as error:
             _check_retry(call, pool, error, number)
+            telemetry.count(telemetry.Metric.ATTEMPTS_REPEATED)
             LOG.info(
                 "attempt failed",
                 extra={
--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -17,6 +17,7 @@
 from zinniadyke import ids
 from zinniadyke import platform
 from zinniadyke import requests
+from zinniadyke import telemetry
 from zinniadyke.weights import _plan
 
 LOG = logging.getLogger(__name__)
@@ -65,7 +66,7 @@
         self.requests = _serve.RequestServer(node=self.node)
         self.histograms = requests.Histograms()
         self.operators = _operators.Operators(entry=self)
-        self.in_progress = 0
+        self.withdrawn = False
         self.controllers: dict[str, eventlet.greenthread.GreenThread] = {}
         host, _, port = settings.http.rpartition(":")
         self.socket = eventlet.listen((host, int(port)), reuse_port=False)
@@ -77,7 +78,7 @@
     @property
     def ready(self) -> bool:
         """Whether the platform's balancer should send callers here."""
-        return self.node.store.revision > 0 and not self.stopping
+        return self.node.store.revision > 0 and not self.withdrawn
 
     def start(self) -> None:
         """Begin to serve."""
@@ -115,16 +116,24 @@
         bool
             Whether all work ended within the grace.
         """
-        self.stopping = True
+        self.withdrawn = True
         eventlet.sleep(READINESS_LEAD_S)
-        ended = False
-        with eventlet.Timeout(self.settings.grace_s, False):
-            while self.in_progress:
-                eventlet.sleep(REFRESH_S / 10)
-            ended = True
+        self.stopping = True
+        ended = self._finish_requests()
         self.stop()
         return ended
 
+    def _finish_requests(self) -> bool:
+        """Close the listener and wait for requests in progress."""
+        with eventlet.Timeout(self.settings.grace_s, False):
+            try:
+                self.server.kill()
+                self.server.wait()
+            except eventlet.greenlet.GreenletExit:
+                return True
+            return True
+        return False
+
     def note_request(
         self,
         call: _call.CallerRequest,
@@ -134,6 +143,12 @@
         """Record how a request ended."""
         latency_s = time.monotonic() - begun
         self.histograms.record(call.workspace, call.request_class, latency_s)
+        telemetry.count(telemetry.Metric.REQUESTS, label=str(code.number))
+        telemetry.timing(
+            telemetry.Metric.REQUEST_TIME,
+            latency_s,
+            label=f"{call.workspace}.{call.request_class}",
+        )
         LOG.info(
             "request",
             extra={
--- a/zinniadyke/entry/_serve.py
+++ b/zinniadyke/entry/_serve.py
@@ -9,7 +9,6 @@
 from zinniadyke.entry import _read_request
 from zinniadyke import errors
 from zinniadyke import objects
-from zinniadyke import platform
 from zinniadyke import requests
 from zinniadyke.requests import _claims
 
@@ -72,8 +71,7 @@
             self.node.configuration, call.workspace
         )
         limiter = self.limiters.setdefault(call.workspace, requests.Limiter())
-        entries = len(self.node.hosts(platform.HostRole.ENTRY))
-        limiter.enter(limit, entries)
+        limiter.enter(limit, self.node.live_entries())
         try:
             served = self._serve_claimed(call)
         except BaseException:
--- a/zinniadyke/objects/_configuration.py
+++ b/zinniadyke/objects/_configuration.py
@@ -41,6 +41,18 @@
             if model.service == service
         ]
 
+    def rollouts_of(
+        self, model: str
+    ) -> list[tuple[_key.ObjectKey, _rollout.Rollout]]:
+        """Return a model's rollouts, the one that holds first."""
+        found = [
+            (key, rollout)
+            for key, rollout in self.of_kind("rollout")
+            if rollout.model == model
+        ]
+        found.sort(key=lambda item: (item[1].sequence, item[0].name))
+        return found[::-1]
+
     def current_rollout(
         self, model: str
     ) -> tuple[_key.ObjectKey, _rollout.Rollout] | None:
@@ -51,16 +63,20 @@
         tuple of ObjectKey and Rollout, or None
             The one with the highest sequence, then the last name.
         """
-        found = [
-            (rollout.sequence, key.name, key, rollout)
-            for key, rollout in self.of_kind("rollout")
-            if rollout.model == model
-            and rollout.state is not _rollout.RolloutState.CANCELLED
-        ]
-        if not found:
-            return None
-        _, _, key, rollout = max(found, key=lambda item: item[:2])
-        return key, rollout
+        for key, rollout in self.rollouts_of(model):
+            if rollout.state is not _rollout.RolloutState.CANCELLED:
+                return key, rollout
+        return None
+
+    def is_held(self, model: str) -> bool:
+        """Return whether the newest rollout of a model was cancelled.
+
+        Targets that serve then keep what they have; the rollout before it
+        only fills targets that serve nothing.
+        """
+        for _, rollout in self.rollouts_of(model):
+            return rollout.state is _rollout.RolloutState.CANCELLED
+        return False
 
 
 def check_references(configuration: Configuration) -> list[str]:
@@ -73,6 +89,26 @@
             name = getattr(value, field)
             if configuration.get(other, name) is None:
                 faults.append(f"{key}: no {other} '{name}'")
+        faults += _check_model(configuration, key, value)
         if kind.scope and configuration.get(kind.scope, key.scope) is None:
             faults.append(f"{key}: no {kind.scope} '{key.scope}'")
     return faults
+
+
+def _check_model(configuration: Configuration, key, value) -> list[str]:
+    if key.kind == "model":
+        models = configuration.models_of(value.service)
+        if models[0] != key.name:
+            return [f"{key}: service '{value.service}' serves {models[0]}"]
+    if key.kind == "rollout":
+        version = configuration.get("version", value.version, value.model)
+        if version is None:
+            return [f"{key}: no version '{value.version}' of {value.model}"]
+    if key.kind == "route" and bool(value.model) == bool(value.service):
+        return [f"{key}: name either a model or a service"]
+    for kind in ("model", "service"):
+        name = getattr(value, kind, "")
+        if key.kind == "route" and name:
+            if configuration.get(kind, name) is None:
+                return [f"{key}: no {kind} '{name}'"]
+    return []
--- a/zinniadyke/peers/_messages.py
+++ b/zinniadyke/peers/_messages.py
@@ -146,10 +146,17 @@
 
 
 class GetChunk(Message):
-    """Ask a peer for one verified chunk of a version."""
+    """Ask a peer for one verified chunk of a version.
+
+    Attributes
+    ----------
+    wait
+        Whether the peer may answer later, once it has the chunk.
+    """
 
     version: str
     index: int
+    wait: bool = True
 
 
 class ChunkPending(Message):
--- a/zinniadyke/peers/_server.py
+++ b/zinniadyke/peers/_server.py
@@ -96,13 +96,13 @@
             return
         self.socket.send_multipart([peer, call_id, body, payload])
 
-    def stop(self) -> None:
+    def stop(self, linger_ms: int = 0) -> None:
         """Stop receiving and close the socket."""
         if self.reader:
             self.reader.kill()
         for task in list(self.tasks.coroutines_running):
             eventlet.kill(task)
-        self.socket.close()
+        self.socket.close(linger=linger_ms)
 
     def _read(self) -> None:
         while True:
--- a/zinniadyke/platform/_client.py
+++ b/zinniadyke/platform/_client.py
@@ -13,6 +13,7 @@
 from zinniadyke import errors
 from zinniadyke.platform import _purpose
 from zinniadyke.platform import _records
+from zinniadyke import telemetry
 
 CALL_TIMEOUT_S = 2.0
 WATCH_SLACK_S = 2.0
@@ -143,6 +144,7 @@
         timeout_s: float | None = None,
     ) -> urllib3.BaseHTTPResponse:
         self.calls[purpose] += 1
+        telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=purpose.value)
         try:
             answer = self.pool.request(
                 method,
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -10,7 +10,6 @@
 
     REQUESTS = "requests"
     REQUEST_TIME = "request_time"
-    REQUESTS_IN_PROGRESS = "requests_in_progress"
     ATTEMPTS_REPEATED = "attempts_repeated"
     CHUNKS_ORIGIN_BYTES = "chunks.origin_bytes"
     CHUNKS_PEER_BYTES = "chunks.peer_bytes"
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -51,6 +51,8 @@
         Returns the connection to a host's agent.
     origin_copies
         Number of copies that may be read from the origin by plan.
+    budget_bytes
+        Memory for the version; 0 for no limit.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         connect: Callable[[platform.Host], peers.PeerConnection],
         origin_client: origin.OriginClient,
         origin_copies: int = 1,
+        budget_bytes: int = 0,
         ingress: _bucket.TokenBucket | None = None,
     ) -> None:
         """Hold the parts; ``run`` does the work."""
@@ -75,6 +78,7 @@
         self.connect = connect
         self.origin_client = origin_client
         self.origin_copies = origin_copies
+        self.budget_bytes = budget_bytes
         self.ingress = ingress or _bucket.TokenBucket()
         self.counts = SourceCounts()
         self.banned: set[ids.HostName] = set()
@@ -86,9 +90,11 @@
         Raises
         ------
         WeightsError
-            The origin's bytes changed or stay corrupt.
+            The origin's bytes changed or stay corrupt, or the version is
+            larger than the budget.
         """
-        self._fetch(_manifest.MANIFEST_INDEX)
+        self.fetch_manifest()
+        self._check_budget()
         pool = eventlet.GreenPool(WINDOW_CHUNKS)
         missing = [
             index
@@ -102,18 +108,46 @@
             for task in list(pool.coroutines_running):
                 eventlet.kill(task)
 
+    def fetch_manifest(self) -> _manifest.Manifest:
+        """Fetch only the manifest.
+
+        Raises
+        ------
+        WeightsError
+            The origin's manifest stays corrupt.
+        """
+        if self.stage.manifest is None:
+            self._fetch(_manifest.MANIFEST_INDEX)
+        return self.stage.manifest
+
+    def _check_budget(self) -> None:
+        size = self.stage.manifest.size
+        if self.budget_bytes and size > self.budget_bytes:
+            raise errors.WeightsError(
+                f"{self.version} has {size} bytes, {self.budget_bytes} left",
+                code=errors.ResultCode.NO_MEMORY,
+            )
+
     def _fetch(self, index: int) -> None:
+        placement = self.placement()
         hosts = _plan.candidates(
-            self.placement(), index, self.me.name, self.origin_copies
+            placement, index, self.me.name, self.origin_copies
         )
         for host in hosts:
-            if host.name not in self.banned and self._from_peer(host, index):
+            if self._from_peer(host, index, wait=True):
+                return
+        for host in _plan.seeds(placement):
+            if self._from_peer(host, index, wait=False):
                 return
         self._from_origin(index)
 
-    def _from_peer(self, host: platform.Host, index: int) -> bool:
+    def _from_peer(
+        self, host: platform.Host, index: int, *, wait: bool
+    ) -> bool:
+        if host.name in self.banned or host.name == self.me.name:
+            return False
         try:
-            data = self._ask(host, index)
+            data = self._ask(host, index, wait)
             if data is None:
                 return False
             self.ingress.take(len(data))
@@ -139,10 +173,12 @@
             self.counts.other_zone += len(data)
         return True
 
-    def _ask(self, host: platform.Host, index: int) -> bytes | None:
+    def _ask(
+        self, host: platform.Host, index: int, wait: bool
+    ) -> bytes | None:
         connection = self.connect(host)
         call = connection.start(
-            peers.GetChunk(version=self.version, index=index)
+            peers.GetChunk(version=self.version, index=index, wait=wait)
         )
         try:
             message, data = call.receive(ACK_TIMEOUT_S)
--- a/zinniadyke/weights/_plan.py
+++ b/zinniadyke/weights/_plan.py
@@ -69,6 +69,11 @@
     return [zone[0] for zone in zones]
 
 
+def seeds(placement: Placement) -> list[platform.Host]:
+    """Return the hosts that keep a version's bytes for late joiners."""
+    return [zone[0] for zone in placement.zones]
+
+
 def _before(
     zones: list[list[platform.Host]], number: int, position: int
 ) -> list[platform.Host]:
