--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -108,8 +108,14 @@
         message = inbound.message
         name, index = message.version, message.index
         data = self._held(name, index)
-        if data is None and message.wait and name not in self.freed:
-            inbound.reply(peers.ChunkPending(version=name, index=index))
+        if data is None and message.wait and self._may_stage(name):
+            inbound.reply(
+                peers.ChunkPending(
+                    version=name,
+                    index=index,
+                    incarnation=self.node.incarnation,
+                )
+            )
             stage = self._wait_stage(name)
             data = stage.wait(index) if stage else None
         if data is None:
@@ -169,6 +175,12 @@
         stage = self.stages.get(name)
         return stage.chunks.get(index) if stage else None
 
+    def _may_stage(self, name: str) -> bool:
+        """Return whether the version is, or may soon be, staged here."""
+        if name in self.stages:
+            return True
+        return name not in self.freed and self.gate.version != name
+
     def _wait_stage(self, name: str) -> weights.Stage | None:
         with eventlet.Timeout(APPEAR_TIMEOUT_S, False):
             while name not in self.stages and name not in self.freed:
--- a/zinniadyke/control/_node.py
+++ b/zinniadyke/control/_node.py
@@ -86,6 +86,12 @@
             self.connections[address] = found
         return found
 
+    def disconnect(self, address: str) -> None:
+        """Close the connection to a process that is gone."""
+        found = self.connections.pop(address, None)
+        if found is not None:
+            found.close()
+
     def start(self) -> None:
         """Begin to answer peers and to follow the configuration."""
         self.server.start()
--- a/zinniadyke/demo/__init__.py
+++ b/zinniadyke/demo/__init__.py
@@ -5,6 +5,7 @@
 from zinniadyke.demo._demo import run_demo
 from zinniadyke.demo._deployment import Deployment
 from zinniadyke.demo._deployment import DEPLOYMENTS
+from zinniadyke.demo._deployment import ServiceSpec
 from zinniadyke.demo._report import DemoReport
 
 __all__ = [
@@ -13,5 +14,6 @@
     "DemoOptions",
     "DemoReport",
     "Deployment",
+    "ServiceSpec",
     "run_demo",
 ]
--- a/zinniadyke/demo/_traffic.py
+++ b/zinniadyke/demo/_traffic.py
@@ -88,10 +88,11 @@
             eventlet.sleep(self.random.expovariate(self.rate))
 
     def _pick_call(self):
-        if self.random.random() < MODEL_PART:
+        services = self.cluster.deployment.plain_services
+        if not services or self.random.random() < MODEL_PART:
             stream = self.random.random() < STREAM_PART
             return lambda *args: self._complete(stream, *args)
-        spec = self.random.choice(self.cluster.deployment.plain_services)
+        spec = self.random.choice(services)
         safe = self.random.random() < SAFE_PART
         return lambda *args: self._call_service(spec, safe, *args)
 
--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -68,6 +68,7 @@
         self.operators = _operators.Operators(entry=self)
         self.withdrawn = False
         self.controllers: dict[str, eventlet.greenthread.GreenThread] = {}
+        self.rollout_controllers: dict[str, control.RolloutController] = {}
         host, _, port = settings.http.rpartition(":")
         self.socket = eventlet.listen((host, int(port)), reuse_port=False)
         name = self.socket.getsockname()
@@ -177,10 +178,12 @@
         }
         for name in [n for n in self.controllers if n not in wanted]:
             self.controllers.pop(name).kill()
+            del self.rollout_controllers[name]
         for name in wanted - self.controllers.keys():
             controller = control.RolloutController(
                 node=self.node, service=ids.ServiceName(name)
             )
+            self.rollout_controllers[name] = controller
             self.controllers[name] = eventlet.spawn(controller.run)
 
     def _is_candidate(self, service: str) -> bool:
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -30,6 +30,7 @@
         self.node = node
         self.service = service
         self.links: dict[ids.HostName, _target_link.TargetLink] = {}
+        self.retired: list[_target_link.TargetLink] = []
         self.queue = requests.FairQueue()
         self.budget = requests.RetryBudget()
         self.random = random.Random()
@@ -37,19 +38,28 @@
     def refresh(self) -> None:
         """Follow the host list: open and close links."""
         hosts = {host.name: host for host in self._subset()}
-        for name in [n for n in self.links if n not in hosts]:
-            self.links.pop(name).close()
+        for name, link in list(self.links.items()):
+            host = hosts.get(name)
+            if host is None or host.peer != link.host.peer:
+                self._retire(self.links.pop(name))
         for name, host in hosts.items():
-            link = self.links.get(name)
-            if link is not None and link.host.peer != host.peer:
-                link.close()
-                link = None
-            if link is None:
-                self.links[name] = self._link(host)
+            if name in self.links:
+                self.links[name].host = host
             else:
-                link.host = host
+                self.links[name] = self._link(host)
+        self._close_retired()
         self.pump()
 
+    def _retire(self, link: _target_link.TargetLink) -> None:
+        link.retire()
+        self.retired.append(link)
+
+    def _close_retired(self) -> None:
+        for link in [x for x in self.retired if x.idle]:
+            self.retired.remove(link)
+            link.close()
+            self.node.disconnect(link.host.peer)
+
     def acquire(
         self, call: _call.CallerRequest, avoid: set[ids.HostName]
     ) -> tuple[_target_link.TargetLink, str]:
@@ -90,7 +100,7 @@
 
     def close(self) -> None:
         """Stop following the targets."""
-        for link in self.links.values():
+        for link in [*self.links.values(), *self.retired]:
             link.close()
 
     def _subset(self) -> list[platform.Host]:
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -45,6 +45,7 @@
         self.status: peers.Status | None = None
         self.missed = 0
         self.in_flight = 0
+        self.retired = False
         self.failures = 0
         self.ejected_until = 0.0
         self.task = eventlet.spawn(self._heartbeats)
@@ -59,6 +60,7 @@
         """Whether new work may be sent."""
         return (
             self.alive
+            and not self.retired
             and self.status.gate is peers.GateState.SERVING
             and self.host.state is platform.HostState.LIVE
         )
@@ -85,6 +87,15 @@
             self.failures = 0
             self.ejected_until = now + EJECT_S
 
+    def retire(self) -> None:
+        """Take no new work; the heartbeat goes on for work in progress."""
+        self.retired = True
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is in flight, or all of it has been failed."""
+        return self.in_flight == 0 or self.missed > MISSED_LIMIT
+
     def close(self) -> None:
         """Stop the heartbeat."""
         self.task.kill()
--- a/zinniadyke/fakes/_engine.py
+++ b/zinniadyke/fakes/_engine.py
@@ -52,6 +52,7 @@
         self.loaded = ""
         self.digest = ""
         self.loads: list[str] = []
+        self.fences: list[int] = []
         self.running = 0
         self.runs: collections.Counter = collections.Counter()
         self.cut_by_load = 0
@@ -91,9 +92,11 @@
         if self.checks_fencing and fence < self.highest_fence:
             return _http.answer(start_response, "409 Conflict")
         self.highest_fence = max(self.highest_fence, fence)
+        self.fences.append(fence)
         self.cut_by_load += self.running
         self.loaded, self.digest = "", ""
         digest = self._receive(environ)
+        eventlet.sleep(self.faults.load_s)
         if self.faults.fail_loads > 0:
             self.faults.fail_loads -= 1
             return _http.answer(start_response, "500 Load Failed")
--- a/zinniadyke/fakes/_faults.py
+++ b/zinniadyke/fakes/_faults.py
@@ -46,6 +46,8 @@
 
     Attributes
     ----------
+    load_s
+        Time that a load takes beside the transfer, in seconds.
     truncate_loads
         That many loads keep only the first half of the bytes, silently.
     die_after_frames
@@ -56,6 +58,7 @@
 
     down: bool = False
     latency_s: float = 0.0
+    load_s: float = 0.0
     truncate_loads: int = 0
     fail_loads: int = 0
     die_after_frames: int = -1
--- a/zinniadyke/peers/_messages.py
+++ b/zinniadyke/peers/_messages.py
@@ -164,6 +164,7 @@
 
     version: str
     index: int
+    incarnation: ids.Incarnation
 
 
 class ChunkFound(Message):
--- a/zinniadyke/peers/_server.py
+++ b/zinniadyke/peers/_server.py
@@ -100,9 +100,9 @@
         """Stop receiving and close the socket."""
         if self.reader:
             self.reader.kill()
+        self.socket.close(linger=linger_ms)
         for task in list(self.tasks.coroutines_running):
             eventlet.kill(task)
-        self.socket.close(linger=linger_ms)
 
     def _read(self) -> None:
         while True:
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import time
 
 import eventlet
 import msgspec
@@ -20,6 +21,7 @@
 
 WINDOW_CHUNKS = 8
 ACK_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 1.0
 PENDING_TIMEOUT_S = 30.0
 ORIGIN_TRIES = 4
 ORIGIN_PAUSE_S = 0.25
@@ -102,8 +104,9 @@
             if index not in self.stage.chunks
         ]
         try:
-            for _ in pool.imap(self._fetch, missing):
-                pass
+            for error in pool.imap(self._try_fetch, missing):
+                if error is not None:
+                    raise error
         finally:
             for task in list(pool.coroutines_running):
                 eventlet.kill(task)
@@ -128,6 +131,14 @@
                 code=errors.ResultCode.NO_MEMORY,
             )
 
+    def _try_fetch(self, index: int) -> errors.WeightsError | None:
+        """Fetch a chunk; the error is returned, for the task that waits."""
+        try:
+            self._fetch(index)
+        except errors.WeightsError as error:
+            return error
+        return None
+
     def _fetch(self, index: int) -> None:
         placement = self.placement()
         hosts = _plan.candidates(
@@ -183,7 +194,7 @@
         try:
             message, data = call.receive(ACK_TIMEOUT_S)
             if isinstance(message, peers.ChunkPending):
-                message, data = call.receive(PENDING_TIMEOUT_S)
+                message, data = _wait_pending(connection, call, message)
         finally:
             connection.finish(call)
         return data if isinstance(message, peers.ChunkFound) else None
@@ -220,3 +231,20 @@
             self.tag = self.tag or found.tag
         self.counts.origin += len(found.data)
         return found.data
+
+
+def _wait_pending(
+    connection: peers.PeerConnection,
+    call: peers.Call,
+    pending: peers.ChunkPending,
+) -> tuple[peers.Message, bytes]:
+    """Wait for a chunk as long as the same life of the peer answers."""
+    deadline = time.monotonic() + PENDING_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            return call.receive(PING_INTERVAL_S)
+        except errors.PeerTimeoutError:
+            status, _ = connection.ask(peers.GetStatus(), ACK_TIMEOUT_S)
+        if status.incarnation != pending.incarnation:
+            break
+    raise errors.PeerTimeoutError("the peer did not get the chunk")
