--- a/zinniadyke/agent/_gate.py
+++ b/zinniadyke/agent/_gate.py
@@ -22,6 +22,21 @@
     attempt: int
 
 
+class Ended(msgspec.Struct, frozen=True, kw_only=True):
+    """What is remembered of an attempt that can no longer start.
+
+    Attributes
+    ----------
+    started
+        Whether it ran; if not, it was closed before.
+    at
+        Monotonic time in seconds.
+    """
+
+    started: bool
+    at: float
+
+
 class Gate:
     """Admits attempts while a version serves, and remembers closed ones.
 
@@ -37,7 +52,7 @@
         self.leaving = False
         self.shutting_down = False
         self.running: dict[AttemptKey, eventlet.greenthread.GreenThread] = {}
-        self.ended: collections.OrderedDict[AttemptKey, float] = (
+        self.ended: collections.OrderedDict[AttemptKey, Ended] = (
             collections.OrderedDict()
         )
 
@@ -64,7 +79,9 @@
         RequestError
             The attempt is not run.
         """
-        if key in self.ended or key in self.running:
+        if self.has_started(key):
+            raise errors.RequestError(code=errors.ResultCode.ALREADY_STARTED)
+        if key in self.ended:
             raise errors.RequestError(code=errors.ResultCode.ATTEMPT_CLOSED)
         if self.refusing or self.state is not peers.GateState.SERVING:
             raise errors.RequestError(code=errors.ResultCode.DRAINING)
@@ -77,13 +94,19 @@
     def finish(self, key: AttemptKey) -> None:
         """Note that an attempt has ended."""
         self.running.pop(key, None)
-        self._remember(key)
+        self._remember(key, started=True)
+
+    def has_started(self, key: AttemptKey) -> bool:
+        """Return whether an attempt runs or has run."""
+        if key in self.running:
+            return True
+        return key in self.ended and self.ended[key].started
 
     def close_attempt(self, key: AttemptKey) -> bool:
         """Make sure that an attempt never starts; True if it has."""
-        if key in self.running or key in self.ended:
+        if self.has_started(key):
             return True
-        self._remember(key)
+        self._remember(key, started=False)
         return False
 
     def drain(self, timeout_s: float) -> bool:
@@ -95,11 +118,11 @@
             eventlet.sleep(DRAIN_POLL_S)
         return not self.running
 
-    def _remember(self, key: AttemptKey) -> None:
+    def _remember(self, key: AttemptKey, *, started: bool) -> None:
         now = time.monotonic()
-        self.ended[key] = now
+        self.ended[key] = Ended(started=started, at=now)
         while self.ended:
-            oldest = next(iter(self.ended.values()))
+            oldest = next(iter(self.ended.values())).at
             if len(self.ended) <= CLOSED_MAX and now - oldest < CLOSED_KEEP_S:
                 return
             self.ended.popitem(last=False)
--- a/zinniadyke/agent/_runner.py
+++ b/zinniadyke/agent/_runner.py
@@ -46,7 +46,9 @@
             self._check_incarnation(message)
             self.gate.admit(key, message.version)
         except errors.RequestError as error:
-            inbound.reply(self._end(message, 0, error))
+            # A message that came twice is answered by its first copy.
+            if error.code is not errors.ResultCode.ALREADY_STARTED:
+                inbound.reply(self._end(message, 0, error))
             return
         sent = [0]
         try:
--- a/zinniadyke/entry/_attempt.py
+++ b/zinniadyke/entry/_attempt.py
@@ -99,6 +99,8 @@
         self.ended = True
         connection = self.link.connection
         connection.finish(self.exchange)
+        if not self.link.reachable:
+            return False
         message = peers.CloseAttempt(
             request_id=self.call.request_id, attempt=self.number
         )
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -41,7 +41,9 @@
         for name, link in list(self.links.items()):
             host = hosts.get(name)
             if host is None or host.peer != link.host.peer:
-                self._retire(self.links.pop(name))
+                del self.links[name]
+                link.retire(replaced=host is not None)
+                self.retired.append(link)
         for name, host in hosts.items():
             if name in self.links:
                 self.links[name].host = host
@@ -50,10 +52,6 @@
         self._close_retired()
         self.pump()
 
-    def _retire(self, link: _target_link.TargetLink) -> None:
-        link.retire()
-        self.retired.append(link)
-
     def _close_retired(self) -> None:
         for link in [x for x in self.retired if x.idle]:
             self.retired.remove(link)
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -55,6 +55,11 @@
         """Whether heartbeats are being answered."""
         return self.status is not None and self.missed < MISSED_LIMIT
 
+    @property
+    def reachable(self) -> bool:
+        """Whether a message may still reach the agent."""
+        return self.missed < MISSED_LIMIT and not self.connection.closed
+
     @property
     def admitting(self) -> bool:
         """Whether new work may be sent."""
@@ -87,9 +92,18 @@
             self.failures = 0
             self.ejected_until = now + EJECT_S
 
-    def retire(self) -> None:
-        """Take no new work; the heartbeat goes on for work in progress."""
+    def retire(self, *, replaced: bool) -> None:
+        """Take no new work; the heartbeat goes on for work in progress.
+
+        Parameters
+        ----------
+        replaced
+            The host has a new agent, so this one is gone for certain.
+        """
         self.retired = True
+        if replaced:
+            self.missed = MISSED_LIMIT + 1
+            self.connection.fail_calls()
 
     @property
     def idle(self) -> bool:
