Prove requests under every fault at every step, and the rest by module

Cause: nothing showed what callers get under faults. The matrix (17 faults, 7 steps, 4 pairs) and module tests found: a doubled request message was answered 'not run' although its first copy ran, and so ran up to 8 times; closing an attempt of a dead agent waited its full time-out; a lost answer to a document's write failed the whole apply. Ruled out: the deadline itself (one hang in the harness, whose fault killed the task that was to release the other probes).

--- a/tests/faults/request_cell.py
+++ b/tests/faults/request_cell.py
@@ -130,8 +130,10 @@
             self.caused.wait()
             return
         self.fired = True
-        self.fault(self, agent or self.cluster.agents["records-1"])
-        self.caused.send()
+        try:
+            self.fault(self, agent or self.cluster.agents["records-1"])
+        finally:
+            self.caused.send()
 
     def _hook(self) -> None:
         entry = self.cluster.entries[0]
--- /dev/null
+++ b/tests/requests/test_limits.py
@@ -0,0 +1,123 @@
+"""Limits, fair queueing, retry budget, tokens."""
+
+import eventlet
+import pytest
+
+from zinniadyke import errors
+from zinniadyke import objects
+from zinniadyke import requests
+from zinniadyke.requests import _limiter
+
+
+class Clock:
+    now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(_limiter, "time", made)
+    return made
+
+
+def admitted(limiter, limit, entries, tries=100):
+    count = 0
+    for _ in range(tries):
+        try:
+            limiter.enter(limit, entries)
+            limiter.leave()
+            count += 1
+        except errors.RequestError as error:
+            assert error.code is errors.ResultCode.RATE_LIMITED
+            assert error.retry_after_s > 0
+    return count
+
+
+def test_a_rate_holds_over_all_entries_together(clock):
+    limiters = [requests.Limiter() for _ in range(4)]
+    limit = objects.Limit(rate=40)
+    assert sum(admitted(x, limit, 4) for x in limiters) == 40
+    clock.now += 0.5
+    assert sum(admitted(x, limit, 4) for x in limiters) == 20
+
+
+def test_concurrency_holds_and_leaves_free():
+    limiter = requests.Limiter()
+    limit = objects.Limit(concurrency=4)
+    limiter.enter(limit, 2)
+    limiter.enter(limit, 2)
+    with pytest.raises(errors.RequestError):
+        limiter.enter(limit, 2)
+    limiter.leave()
+    limiter.enter(limit, 2)
+
+
+def serve_order(queue, waiting):
+    """Queue requests and return the workspaces in the order of turns."""
+    order = []
+
+    def wait(name, share, priority):
+        queue.wait(name, share, priority, 1000, 10)
+        order.append(name)
+
+    for name, share, priority, count in waiting:
+        for _ in range(count):
+            eventlet.spawn(wait, name, share, priority)
+    eventlet.sleep(0)
+    while queue.grant():
+        eventlet.sleep(0)
+    return order
+
+
+def test_turns_follow_shares_and_a_flood_does_not_delay_others():
+    queue = requests.FairQueue()
+    order = serve_order(queue, [("flood", 1, 1, 100), ("calm", 1, 1, 5)])
+    assert max(i for i, n in enumerate(order) if n == "calm") < 12
+    order = serve_order(queue, [("big", 3, 1, 60), ("small", 1, 1, 60)])
+    assert 28 <= order[:40].count("big") <= 32
+
+
+def test_priority_goes_first_and_the_rest_does_not_starve():
+    queue = requests.FairQueue()
+    order = serve_order(queue, [("low", 1, 2, 50), ("high", 1, 0, 160)])
+    first = order[:51]
+    assert first.count("high") >= 45
+    assert first.count("low") >= 2
+
+
+def test_a_full_queue_and_a_passed_deadline_are_answered_at_once():
+    queue = requests.FairQueue()
+    task = eventlet.spawn(queue.wait, "w", 1, 1, 1, 0.05)
+    eventlet.sleep(0)
+    with pytest.raises(errors.RequestError) as caught:
+        queue.wait("w", 1, 1, 1, 10)
+    assert caught.value.code is errors.ResultCode.QUEUE_FULL
+    assert caught.value.retry_after_s > 0
+    with pytest.raises(errors.RequestError) as caught:
+        task.wait()
+    assert caught.value.code is errors.ResultCode.QUEUE_TIMEOUT
+    assert len(queue) == 0
+
+
+def test_the_retry_budget_ends():
+    budget = requests.RetryBudget()
+    while budget.withdraw():
+        continue
+    for _ in range(11):
+        budget.deposit()
+    assert budget.withdraw()
+    assert not budget.withdraw()
+
+
+def test_only_the_token_itself_fits_its_hash():
+    token = requests.new_token("hafez")
+    stored = requests.hash_token(token)
+    assert token not in stored
+    assert requests.check_token(token, ["x:y", stored])
+    assert not requests.check_token(token + "x", [stored])
+    assert not requests.check_token("", [stored])
+    assert requests.token_workspace(token) == "hafez"
+    assert requests.token_workspace("zd.hafez") == ""
--- /dev/null
+++ b/tests/settings/test_load.py
@@ -0,0 +1,51 @@
+import pytest
+
+from zinniadyke import errors
+from zinniadyke import settings
+
+GOOD = """
+[platform]
+url = "http://127.0.0.1:1"
+[agent]
+name = "a"
+zone = "cairo"
+region = "egypt"
+service = "drafting"
+peer = "127.0.0.1:7001"
+engine = "http://127.0.0.1:2"
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "agent.toml"
+    path.write_text(text)
+    return settings.load(str(path))
+
+
+def test_good_settings_have_types_and_defaults(tmp_path):
+    loaded = load(tmp_path, GOOD)
+    assert loaded.agent.staging_mib == 1024
+    assert loaded.entry is None
+    assert loaded.log.level.value == "info"
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (("zone = ", "zone = 3 #"), "agent.zone: Expected `str`, got `int`"),
+        (("zone = ", "zon = "), "unknown field `zon`"),
+        (('"127.0.0.1:7001"', '"host:7001"'), "agent.peer: expected an IP"),
+        (('"127.0.0.1:7001"', '"127.0.0.1:70010"'), "(found '127.0.0.1:70"),
+        (("[agent]", "[agent"), "agent.toml: "),
+    ],
+)
+def test_errors_name_file_key_and_what_was_found(tmp_path, change, expected):
+    with pytest.raises(errors.SettingsError) as caught:
+        load(tmp_path, GOOD.replace(*change))
+    assert "agent.toml" in caught.value.message
+    assert expected in caught.value.message
+
+
+def test_a_missing_file_is_named(tmp_path):
+    with pytest.raises(errors.SettingsError, match="No such file"):
+        settings.load(str(tmp_path / "none.toml"))
--- a/zinniadyke/control/_accept.py
+++ b/zinniadyke/control/_accept.py
@@ -64,7 +64,7 @@
                 lines=lines,
             )
         head = _next_head(stored.head, changes, author, change_id)
-        _write_documents(client, changes)
+        _write_documents(client, changes, deadline_s)
         try:
             platform.write_settled(
                 client,
@@ -135,11 +135,14 @@
 
 
 def _write_documents(
-    client: platform.PlatformClient, changes: list[_change.Change]
+    client: platform.PlatformClient,
+    changes: list[_change.Change],
+    deadline_s: float,
 ) -> None:
     for change in changes:
         if change.value is not None:
-            _head.write_document(client, _head.encode_document(change.value))
+            document = _head.encode_document(change.value)
+            _head.write_document(client, document, deadline_s)
 
 
 def _next_head(
--- a/zinniadyke/control/_head.py
+++ b/zinniadyke/control/_head.py
@@ -117,21 +117,27 @@
     return stored.value
 
 
-def write_document(client: platform.PlatformClient, document: bytes) -> None:
+def write_document(
+    client: platform.PlatformClient, document: bytes, deadline_s: float
+) -> None:
     """Store a document; one that is already there is the same.
 
     Raises
     ------
     PlatformError
-        The platform did not answer.
+        The platform did not answer within ``deadline_s`` seconds.
     """
     key = DOCUMENT_PREFIX + document_digest(document)
     try:
-        client.put(
+        platform.write_settled(
+            client,
             key,
             document,
             purpose=platform.Purpose.CONFIGURATION,
             revision=None,
+            deadline_s=deadline_s,
         )
     except errors.ConflictError:
         return
+    except errors.UnknownOutcomeError as error:
+        raise errors.PlatformError(error.message)
