Bench rollouts with paced links against the fluid bound

Cause: nothing measured time or bytes of a rollout. Change: zinniadyke bench rollout, with baselines to compare.

--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -63,6 +63,7 @@
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
         self.served_at: dict[str, float] = {}
         self.freed: set[str] = set()
+        self.choose = weights.candidates
         self.waiting = 0
         self.engine_checked = event.Event()
 
@@ -240,6 +241,7 @@
             origin_copies=copies,
             budget_bytes=max(1, self.budget_bytes - others),
             ingress=self.download,
+            choose=self.choose,
         )
 
     def _placement(self, name: str) -> weights.Placement:
--- /dev/null
+++ b/zinniadyke/bench/_strategies.py
@@ -0,0 +1,70 @@
+"""Ways to choose whom to ask for a chunk: the product's and baselines."""
+
+import random
+
+from zinniadyke import ids
+from zinniadyke import platform
+from zinniadyke import weights
+from zinniadyke.weights import _plan
+
+Hosts = list[platform.Host]
+
+
+def direct(
+    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+) -> Hosts:
+    """Read every chunk from the origin."""
+    return []
+
+
+def chain(
+    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+) -> Hosts:
+    """Ask the host before this one, in one order for all chunks."""
+    order = [host for zone in placement.zones for host in zone]
+    position = [host.name for host in order].index(me)
+    return order[:position][::-1]
+
+
+def rotated_chain(
+    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+) -> Hosts:
+    """Ask the host before this one, in an order rotated by the chunk."""
+    order = [host for zone in placement.order(index) for host in zone]
+    position = [host.name for host in order].index(me)
+    return order[:position][::-1]
+
+
+def rendezvous(
+    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+) -> Hosts:
+    """Binary tree over an independent permutation for each chunk."""
+    hosts = [host for zone in placement.zones for host in zone]
+    order = sorted(hosts, key=lambda h: _plan.weight(str(index), h.name))
+    position = [host.name for host in order].index(me)
+    ancestors = []
+    while position > 0:
+        position = (position - 1) // _plan.ARITY
+        ancestors.append(order[position])
+    return ancestors
+
+
+def random_earlier(
+    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+) -> Hosts:
+    """Ask hosts at random, among those before this one in the rotation."""
+    order = [host for zone in placement.order(index) for host in zone]
+    position = [host.name for host in order].index(me)
+    earlier = order[:position]
+    random.Random(f"{me}/{index}").shuffle(earlier)
+    return earlier
+
+
+STRATEGIES = {
+    "tree": weights.candidates,
+    "direct": direct,
+    "chain": chain,
+    "rotated-chain": rotated_chain,
+    "rendezvous": rendezvous,
+    "random": random_earlier,
+}
--- a/zinniadyke/ui/_application.py
+++ b/zinniadyke/ui/_application.py
@@ -6,6 +6,7 @@
 from zinniadyke import __version__
 from zinniadyke import errors
 from zinniadyke.ui import _apply_command
+from zinniadyke.ui import _bench_command
 from zinniadyke.ui import _check_command
 from zinniadyke.ui import _demo_command
 from zinniadyke.ui import _manifest_command
@@ -15,6 +16,7 @@
 COMMANDS = (
     _apply_command.ApplyCommand,
     _apply_command.PlanCommand,
+    _bench_command.BenchRolloutCommand,
     _check_command.CheckCommand,
     _demo_command.DemoCommand,
     _manifest_command.ManifestCommand,
--- /dev/null
+++ b/zinniadyke/ui/_bench_command.py
@@ -0,0 +1,68 @@
+"""``zinniadyke bench``."""
+
+import json
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+import msgspec
+
+from zinniadyke import errors
+from zinniadyke.language import _values
+
+
+class BenchRolloutCommand(Command):
+    """Measures rollouts against their lower bounds."""
+
+    name = "bench rollout"
+    description = "Measures a rollout on loopback with paced links."
+    options = [
+        option("hosts", None, "Hosts.", flag=False, default="24"),
+        option("size", None, "Bytes.", flag=False, default="8MiB"),
+        option("favour", None, "origin or time", flag=False, default="origin"),
+        option("strategy", None, "Strategy.", flag=False, default="tree"),
+        option("chunks", None, "Chunks.", flag=False, default="96"),
+        option("wanted", None, "Time.", flag=False, default="16s"),
+        option("seed", None, "Seed.", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        from zinniadyke import bench
+        from zinniadyke import objects
+
+        strategy = self.option("strategy")
+        if strategy not in bench.STRATEGIES:
+            allowed = ", ".join(bench.STRATEGIES)
+            raise errors.UserError(f"--strategy takes one of {allowed}")
+        try:
+            favour = objects.Favour(self.option("favour"))
+        except ValueError:
+            raise errors.UserError("--favour takes origin or time")
+        result = bench.run_rollout(
+            bench.RolloutOptions(
+                hosts=whole_number(self, "hosts"),
+                size=whole_number(self, "size"),
+                favour=favour,
+                strategy=strategy,
+                chunks=whole_number(self, "chunks"),
+                wanted_s=_values.duration_s(self.option("wanted")),
+                seed=whole_number(self, "seed"),
+            )
+        )
+        self.line(json.dumps(msgspec.to_builtins(result)))
+        return 0
+
+
+def whole_number(command: Command, name: str) -> int:
+    """Return an option as a whole number above 0.
+
+    Raises
+    ------
+    UserError
+        It is none.
+    """
+    value = _values.interpret(command.option(name))
+    if type(value) is not int or value < 1:
+        raise errors.UserError(f"--{name} takes a whole number above 0")
+    return value
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -28,6 +28,11 @@
 ORIGIN_PAUSE_MAX_S = 5.0
 
 
+Choose = Callable[
+    [_plan.Placement, int, ids.HostName, int], list[platform.Host]
+]
+
+
 class SourceCounts(msgspec.Struct, kw_only=True):
     """Bytes received by source, and faults that were met."""
 
@@ -53,6 +58,8 @@
         Returns the connection to a host's agent.
     origin_copies
         Number of copies that may be read from the origin by plan.
+    choose
+        Returns the hosts to ask for a chunk, in turn.
     budget_bytes
         Memory for the version; 0 for no limit.
     """
@@ -70,6 +77,7 @@
         origin_copies: int = 1,
         budget_bytes: int = 0,
         ingress: _bucket.TokenBucket | None = None,
+        choose: Choose = _plan.candidates,
     ) -> None:
         """Hold the parts; ``run`` does the work."""
         self.me = me
@@ -81,6 +89,7 @@
         self.origin_client = origin_client
         self.origin_copies = origin_copies
         self.budget_bytes = budget_bytes
+        self.choose = choose
         self.ingress = ingress or _bucket.TokenBucket()
         self.counts = SourceCounts()
         self.banned: set[ids.HostName] = set()
@@ -141,9 +150,7 @@
 
     def _fetch(self, index: int) -> None:
         placement = self.placement()
-        hosts = _plan.candidates(
-            placement, index, self.me.name, self.origin_copies
-        )
+        hosts = self.choose(placement, index, self.me.name, self.origin_copies)
         for host in hosts:
             if self._from_peer(host, index, wait=True):
                 return
