Ask for 32 chunks ahead; ping a pending peer once, not per chunk

Cause: with 8 chunks in flight only some hosts stand inside the trees of the window, so half the upload links idle; and each pending chunk pinged its parent each second (768 pings/s at 24 hosts). Change: window 32; a peer heard of late is only checked every 4 s; the placement is computed once for a host list.

--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -61,6 +61,7 @@
         self.manifests: dict[str, weights.Manifest] = {}
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
+        self.placements: dict[tuple[str, str], weights.Placement] = {}
         self.served_at: dict[str, float] = {}
         self.freed: set[str] = set()
         self.choose = weights.candidates
@@ -245,8 +246,11 @@
         )
 
     def _placement(self, name: str) -> weights.Placement:
-        hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
-        return weights.Placement.of(hosts, name)
+        key = (name, self.node.sync.hosts_digest)
+        if key not in self.placements:
+            hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
+            self.placements = {key: weights.Placement.of(hosts, name)}
+        return self.placements[key]
 
     def _free_if_idle(self, name: str) -> None:
         """Free a version that serves here and that no peer asks for."""
--- a/zinniadyke/peers/_connection.py
+++ b/zinniadyke/peers/_connection.py
@@ -2,6 +2,7 @@
 
 import itertools
 import struct
+import time
 
 import eventlet
 from eventlet.green import zmq
@@ -64,6 +65,7 @@
         self.address = address
         self.calls: dict[int, Call] = {}
         self.numbers = itertools.count(1)
+        self.heard_at = 0.0
         self.closed = False
         self.socket = context.socket(zmq.DEALER)
         self.socket.setsockopt(zmq.LINGER, 0)
@@ -131,6 +133,7 @@
     def _read(self) -> None:
         while True:
             frames = self.socket.recv_multipart()
+            self.heard_at = time.monotonic()
             try:
                 number = CALL_ID.unpack(frames[0])[0]
                 message = _messages.decode(frames[1])
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -19,9 +19,10 @@
 
 LOG = logging.getLogger(__name__)
 
-WINDOW_CHUNKS = 8
+WINDOW_CHUNKS = 32
 ACK_TIMEOUT_S = 1.0
 PING_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 4.0
 PENDING_TIMEOUT_S = 30.0
 ORIGIN_TRIES = 4
 ORIGIN_PAUSE_S = 0.25
@@ -245,13 +246,23 @@
     call: peers.Call,
     pending: peers.ChunkPending,
 ) -> tuple[peers.Message, bytes]:
-    """Wait for a chunk as long as the same life of the peer answers."""
+    """Wait for a chunk as long as the same life of the peer answers.
+
+    A peer that was heard of late need not be asked, except now and then
+    whether it still is the one that promised the chunk.
+    """
     deadline = time.monotonic() + PENDING_TIMEOUT_S
+    checked_at = time.monotonic()
     while time.monotonic() < deadline:
         try:
             return call.receive(PING_INTERVAL_S)
         except errors.PeerTimeoutError:
-            status, _ = connection.ask(peers.GetStatus(), ACK_TIMEOUT_S)
+            now = time.monotonic()
+        silent = now - connection.heard_at >= PING_INTERVAL_S
+        if not silent and now - checked_at < CHECK_INTERVAL_S:
+            continue
+        checked_at = now
+        status, _ = connection.ask(peers.GetStatus(), ACK_TIMEOUT_S)
         if status.incarnation != pending.incarnation:
             break
     raise errors.PeerTimeoutError("the peer did not get the chunk")
