Bench control with real processes; agents load only what they use

Cause: a settings file pulled entry, language and histograms into an agent. Change: settings types live in the settings package; benchmarks/control.py measures configuration, calls, processor time and memory with processes.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,294 @@
+"""Measures configuration with real processes: agents on one platform.
+
+Prints one JSON line: time until a change is in force everywhere, platform
+calls, and processor time and memory per process, at rest and at one change
+a second. ``--kill-watcher`` ends a watcher in mid-run.
+
+    python benchmarks/control.py --processes 50
+"""
+
+import argparse
+import datetime
+import json
+import os
+import pathlib
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+from zinniadyke import control
+from zinniadyke import ids
+from zinniadyke import language
+from zinniadyke import objects
+from zinniadyke import platform
+
+ZONES = ["cairo", "alexandria", "asyut"]
+READY_LIMIT_S = 120.0
+IN_FORCE_LIMIT_S = 20.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+AGENT = """
+[platform]
+url = "http://{platform}"
+[agent]
+name = "host-{number}"
+zone = "{zone}"
+region = "egypt"
+service = "records"
+peer = "{peer}"
+engine = "http://{service}"
+"""
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+    for opened in sockets:
+        opened.close()
+    return found
+
+
+class Fleet:
+    """The stand-ins and the agents, each a process.
+
+    Parameters
+    ----------
+    count
+        Number of agents.
+    """
+
+    def __init__(self, *, count: int, directory: pathlib.Path) -> None:
+        """Start every process."""
+        self.directory = directory
+        self.processes: list[subprocess.Popen] = []
+        platform_at, service_at, *peer_addresses = free_addresses(count + 2)
+        self.url = f"http://{platform_at}"
+        self.client = platform.PlatformClient(url=self.url)
+        self.http = urllib3.PoolManager()
+        self.hosts = [
+            platform.Host(
+                name=ids.HostName(f"host-{n}"),
+                role=platform.HostRole.TARGET,
+                zone=ids.ZoneName(ZONES[n % len(ZONES)]),
+                region="egypt",
+                peer=peer,
+                service=ids.ServiceName("records"),
+            )
+            for n, peer in enumerate(peer_addresses)
+        ]
+        self._start_fake("platform", platform_at)
+        self._start_fake("service", service_at)
+        self._publish()
+        self.agents = [
+            self._start_agent(host, platform_at, service_at)
+            for host in self.hosts
+        ]
+
+    def _start_fake(self, kind: str, address: str) -> None:
+        text = f'[fake.{kind}]\naddress = "{address}"\n'
+        self._start(["fake", kind], kind, text)
+
+    def _start_agent(self, host, platform_at, service_at):
+        text = AGENT.format(
+            platform=platform_at,
+            number=host.name.removeprefix("host-"),
+            zone=host.zone,
+            peer=host.peer,
+            service=service_at,
+        )
+        return self._start(["agent"], host.name, text)
+
+    def _start(self, command, name, text) -> subprocess.Popen:
+        path = self.directory / f"{name}.toml"
+        path.write_text(text)
+        arguments = [sys.executable, "-m", "zinniadyke", *command]
+        process = subprocess.Popen(
+            [*arguments, "--config", str(path)],
+            stdout=subprocess.DEVNULL,
+            stderr=(self.directory / f"{name}.log").open("w"),
+        )
+        self.processes.append(process)
+        return process
+
+    def _publish(self) -> None:
+        import msgspec
+
+        body = msgspec.json.encode(self.hosts)
+        deadline = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                self.http.request("PUT", self.url + "/v1/hosts", body=body)
+                return
+            except urllib3.exceptions.HTTPError:
+                time.sleep(0.1)
+        raise SystemExit("the platform's stand-in did not start")
+
+    def accept(self, number: int) -> int:
+        """Make one change and return its revision."""
+        text = f"workspace w {{ share = {number + 1} }}"
+        if number == 0:
+            text += " service records { kind = plain }"
+        changes = language.to_changes(
+            language.parse(text), objects.Configuration()
+        )
+        return control.accept(
+            self.client,
+            changes,
+            author="bench",
+            change_id=ids.new_change_id(),
+        ).revision
+
+    def in_force(self, host: platform.Host) -> dict[int, float]:
+        """Return revision to wall-clock time, from a process's log."""
+        found = {}
+        log = self.directory / f"{host.name}.log"
+        for line in log.read_text().splitlines():
+            record = json.loads(line)
+            if record["message"] == "in force":
+                at = datetime.datetime.strptime(
+                    record["time"], "%Y-%m-%d %H:%M:%S,%f"
+                )
+                found[record["revision"]] = at.timestamp()
+        return found
+
+    def wait_in_force(self, revision: int, hosts) -> bool:
+        """Wait until every process has a revision in force."""
+        deadline = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline:
+            if all(
+                max(self.in_force(h), default=0) >= revision for h in hosts
+            ):
+                return True
+            time.sleep(0.2)
+        return False
+
+    def counters(self) -> dict[str, int]:
+        """Return the platform's reads and writes so far."""
+        answer = self.http.request("GET", self.url + "/v1/counters")
+        return json.loads(answer.data)
+
+    def cpu_s(self) -> float:
+        """Return the agents' processor time so far, in seconds."""
+        return sum(process_cpu_s(p.pid) for p in self.agents)
+
+    def memory_mib(self) -> list[float]:
+        """Return each agent's resident memory, in MiB."""
+        return [process_memory_mib(p.pid) for p in self.agents]
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+
+
+def process_cpu_s(pid: int) -> float:
+    """Return a process's processor time, in seconds."""
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return 0.0
+    user, system = fields.rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) / CLOCK_TICKS
+
+
+def process_memory_mib(pid: int) -> float:
+    """Return a process's resident memory, in MiB."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def phase(fleet: Fleet, seconds: float, change=None) -> dict[str, float]:
+    """Measure one phase; ``change`` is called once a second."""
+    calls, cpu = fleet.counters(), fleet.cpu_s()
+    begun = time.monotonic()
+    number = 0
+    while time.monotonic() - begun < seconds:
+        if change is not None:
+            change(number)
+        number += 1
+        time.sleep(max(0.0, begun + number - time.monotonic()))
+    elapsed = time.monotonic() - begun
+    after = fleet.counters()
+    return {
+        "reads_per_s": (after["reads"] - calls["reads"]) / elapsed,
+        "writes_per_s": (after["writes"] - calls["writes"]) / elapsed,
+        "cpu_share": (fleet.cpu_s() - cpu) / elapsed / len(fleet.agents),
+    }
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--processes", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--kill-watcher", action="store_true")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        fleet = Fleet(count=options.processes, directory=pathlib.Path(name))
+        try:
+            print(json.dumps(run(fleet, options)))
+        finally:
+            fleet.stop()
+
+
+def run(fleet: Fleet, options: argparse.Namespace) -> dict:
+    """Measure at rest and at one change a second."""
+    accepted: dict[int, float] = {}
+
+    def change(number: int) -> None:
+        revision = fleet.accept(len(accepted))
+        accepted[revision] = time.time()
+        if options.kill_watcher and number == options.seconds // 2:
+            fleet.agents[0].kill()
+
+    change(0)
+    if not fleet.wait_in_force(1, fleet.hosts):
+        raise SystemExit("the processes did not start")
+    time.sleep(3)
+    rest = phase(fleet, options.seconds)
+    busy = phase(fleet, options.seconds, change)
+    hosts = fleet.hosts[1:] if options.kill_watcher else fleet.hosts
+    reached = fleet.wait_in_force(max(accepted), hosts)
+    delays = in_force_delays(fleet, hosts, accepted)
+    memory = fleet.memory_mib()
+    return {
+        "processes": options.processes,
+        "watcher_killed": options.kill_watcher,
+        "changes": len(accepted) - 1,
+        "all_in_force": reached,
+        "in_force_p50_s": statistics.median(delays),
+        "in_force_p100_s": max(delays),
+        "rest": rest,
+        "one_change_a_second": busy,
+        "memory_mib_median": statistics.median(memory),
+        "memory_mib_max": max(memory),
+    }
+
+
+def in_force_delays(fleet, hosts, accepted) -> list[float]:
+    """Return, per process and change, the time until in force, in s.
+
+    A process that takes two changes in one step has the first in force
+    from then on as well.
+    """
+    delays = []
+    for host in hosts:
+        found = fleet.in_force(host)
+        for revision, at in accepted.items():
+            later = [t for r, t in found.items() if r >= revision]
+            if revision > 1 and later:
+                delays.append(min(later) - at)
+    return delays
+
+
+if __name__ == "__main__":
+    main()
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -9,7 +9,6 @@
 from zinniadyke.agent import _gate
 from zinniadyke.agent import _orders
 from zinniadyke.agent import _runner
-from zinniadyke.agent import _settings
 from zinniadyke.agent import _stager
 from zinniadyke.control import _node
 from zinniadyke import engine
@@ -18,6 +17,7 @@
 from zinniadyke import objects
 from zinniadyke import peers
 from zinniadyke import platform
+from zinniadyke.settings import AgentSettings
 from zinniadyke import weights
 
 LOG = logging.getLogger(__name__)
@@ -38,9 +38,7 @@
         Base URL of the platform.
     """
 
-    def __init__(
-        self, *, settings: _settings.AgentSettings, platform_url: str
-    ) -> None:
+    def __init__(self, *, settings: AgentSettings, platform_url: str) -> None:
         """Bind the peer socket; ``start`` begins the work."""
         self.settings = settings
         self.node = _node.Node(
--- a/zinniadyke/control/_store.py
+++ b/zinniadyke/control/_store.py
@@ -57,6 +57,7 @@
             self.history.append(delta)
         changed, self.changed = self.changed, event.Event()
         changed.send()
+        LOG.info("in force", extra={"revision": self.revision})
         telemetry.gauge(telemetry.Metric.CONFIG_REVISION, self.revision)
         return True
 
--- a/zinniadyke/demo/_cluster.py
+++ b/zinniadyke/demo/_cluster.py
@@ -13,6 +13,8 @@
 from zinniadyke import language
 from zinniadyke import objects
 from zinniadyke import requests
+from zinniadyke.settings import AgentSettings
+from zinniadyke.settings import EntrySettings
 from zinniadyke.ui import _files
 from zinniadyke.ui import _operator_client
 from zinniadyke import weights
@@ -77,7 +79,7 @@
                 self.add_target(spec, number)
         admin = requests.hash_token(self.admin_token)
         for number in range(deployment.entries):
-            settings = entry.EntrySettings(
+            settings = EntrySettings(
                 name=f"entry-{number + 1}",
                 zone=self._zone(number),
                 region=deployment.region,
@@ -108,7 +110,7 @@
         self, name: str, service: str, number: int, engine_url: str
     ) -> agent.Agent:
         """Make the agent of a target; it replaces one of the same name."""
-        settings = agent.AgentSettings(
+        settings = AgentSettings(
             name=name,
             zone=self._zone(number),
             region=self.deployment.region,
--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -12,11 +12,11 @@
 from zinniadyke.entry import _http
 from zinniadyke.entry import _operators
 from zinniadyke.entry import _serve
-from zinniadyke.entry import _settings
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import platform
 from zinniadyke import requests
+from zinniadyke.settings import EntrySettings
 from zinniadyke import telemetry
 from zinniadyke.weights import _plan
 
@@ -42,9 +42,7 @@
         Base URL of the platform.
     """
 
-    def __init__(
-        self, *, settings: _settings.EntrySettings, platform_url: str
-    ) -> None:
+    def __init__(self, *, settings: EntrySettings, platform_url: str) -> None:
         """Bind both sockets; ``start`` begins the work."""
         self.settings = settings
         self.max_body_bytes = settings.max_body_kib * KIB
--- a/zinniadyke/fakes/_platform.py
+++ b/zinniadyke/fakes/_platform.py
@@ -61,6 +61,9 @@
         path = environ["PATH_INFO"]
         if path == "/v1/hosts":
             return self._serve_hosts(environ, start_response)
+        if path == "/v1/counters":
+            counted = {"reads": self.reads, "writes": self.writes}
+            return _http.answer_json(start_response, counted)
         if path.startswith("/v1/objects/"):
             key = path.removeprefix("/v1/objects/")
             if environ["REQUEST_METHOD"] == "PUT":
--- a/zinniadyke/settings/__init__.py
+++ b/zinniadyke/settings/__init__.py
@@ -1,5 +1,7 @@
 """Settings files: typed, checked, with errors that name the place."""
 
+from zinniadyke.settings._agent import AgentSettings
+from zinniadyke.settings._entry import EntrySettings
 from zinniadyke.settings._load import load
 from zinniadyke.settings._schema import FakeSettings
 from zinniadyke.settings._schema import LogSettings
@@ -7,6 +9,8 @@
 from zinniadyke.settings._schema import StatsdSettings
 
 __all__ = [
+    "AgentSettings",
+    "EntrySettings",
     "FakeSettings",
     "LogSettings",
     "Settings",
--- a/zinniadyke/settings/_schema.py
+++ b/zinniadyke/settings/_schema.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from zinniadyke.agent import AgentSettings
-from zinniadyke.entry import EntrySettings
 from zinniadyke.platform import Host
+from zinniadyke.settings._agent import AgentSettings
+from zinniadyke.settings._entry import EntrySettings
 
 
 class Section(
