Let tokens leave one by one; show operators only their own

Cause: the WSGI server gathers 4 KiB before it writes, so a stream's first token waited for its last; a workspace's operators saw the whole fleet's targets and could raise their own limits. Change: no gathering at entries; workspace operators see their rows only and change only routes to what they reach already; request records name version and target; a second SIGTERM ends at once.

--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -92,6 +92,8 @@
             max_size=MAX_CONNECTIONS,
             url_length_limit=URL_LIMIT_BYTES,
             socket_timeout=IDLE_TIMEOUT_S,
+            # Tokens leave one by one, not gathered into 4 KiB.
+            minimum_chunk_size=1,
         )
         self.tasks = [eventlet.spawn(self._refresh)]
 
@@ -138,6 +140,8 @@
         call: _call.CallerRequest,
         code: errors.ResultCode,
         begun: float,
+        version: str = "",
+        target: str = "",
     ) -> None:
         """Record how a request ended."""
         latency_s = time.monotonic() - begun
@@ -154,6 +158,9 @@
                 "request_id": call.request_id,
                 "workspace": call.workspace,
                 "request_class": call.request_class,
+                "service": call.service,
+                "version": version,
+                "target": target,
                 "code": code.number,
                 "latency_ms": round(latency_s * 1000, 3),
             },
--- a/zinniadyke/entry/_http.py
+++ b/zinniadyke/entry/_http.py
@@ -119,9 +119,7 @@
             (CODE_HEADER, str(errors.ResultCode.OK.number)),
             (RAN_HEADER, errors.Ran.RAN.value),
         ]
-        body = _Body(
-            parts=served.parts, call=call, entry=self.entry, begun=begun
-        )
+        body = _Body(served=served, call=call, entry=self.entry, begun=begun)
         if call.stream:
             start_response(_status(served.status), headers)
             return body
@@ -134,8 +132,8 @@
 class _Body:
     """Body of an answer; a stream that breaks ends in an error event."""
 
-    def __init__(self, *, parts, call, entry, begun: float) -> None:
-        self.parts = parts
+    def __init__(self, *, served, call, entry, begun: float) -> None:
+        self.served = served
         self.call = call
         self.entry = entry
         self.begun = begun
@@ -143,7 +141,7 @@
     def __iter__(self):
         code = errors.ResultCode.CANCELLED
         try:
-            yield from self.parts
+            yield from self.served.parts
             code = errors.ResultCode.OK
         except errors.ZinniadykeError as error:
             code = error.code
@@ -153,10 +151,16 @@
             event = msgspec.json.encode(ErrorBody(error=detail))
             yield b"event: error\ndata: " + event + b"\n\n"
         finally:
-            self.entry.note_request(self.call, code, self.begun)
+            self.entry.note_request(
+                self.call,
+                code,
+                self.begun,
+                version=self.served.version,
+                target=self.served.target,
+            )
 
     def close(self) -> None:
-        self.parts.close()
+        self.served.parts.close()
 
 
 def answer_error(
--- a/zinniadyke/entry/_operators.py
+++ b/zinniadyke/entry/_operators.py
@@ -20,7 +20,6 @@
 
 MAX_STATEMENTS_BYTES = 1 << 20
 WAIT_POLL_S = 0.2
-WORKSPACE_KINDS = ("route", "limit")
 
 
 class QueryResult(msgspec.Struct, kw_only=True):
@@ -102,7 +101,7 @@
         present = present or self._accepted()
         changes = language.to_changes(statements, present, file=file)
         for change in changes:
-            _check_allowed(change, identity)
+            _check_allowed(change, identity, present)
         return changes
 
     def _query(self, text: str, identity: _auth.Identity) -> QueryResult:
@@ -136,6 +135,8 @@
         }
         if kind in live:
             return _visible(live[kind](), identity)
+        if kind == "workspaces":
+            return _visible(self._workspace_rows(), identity)
         singular = kind.removesuffix("s")
         if singular not in objects.KINDS:
             known = [*sorted(live), *(f"{k}s" for k in sorted(objects.KINDS))]
@@ -158,6 +159,10 @@
             rows.append({**row, **fields})
         return rows
 
+    def _workspace_rows(self) -> list[dict]:
+        rows = self._declared_rows("workspace")
+        return [{"workspace": row["name"], **row} for row in rows]
+
     def _target_rows(self) -> list[dict]:
         rows = []
         for name, pool in sorted(self.entry.requests.pools.items()):
@@ -224,16 +229,38 @@
     }
 
 
-def _check_allowed(change: control.Change, identity: _auth.Identity) -> None:
+def _check_allowed(
+    change: control.Change,
+    identity: _auth.Identity,
+    present: objects.Configuration,
+) -> None:
+    """Let a workspace's operators change only their own routes.
+
+    Such a route may lead only to what the fleet's operators have let the
+    workspace reach already.
+    """
     if identity.role is _auth.Role.ADMIN:
         return
     own = change.key.scope == identity.workspace
-    if change.key.kind not in WORKSPACE_KINDS or not own:
-        raise errors.RequestError(
-            f"{change.key}: not allowed to operators of"
-            f" workspace {identity.workspace}",
-            code=errors.ResultCode.FORBIDDEN,
-        )
+    if change.key.kind != "route" or not own:
+        raise _forbidden(change, identity)
+    reachable = [
+        (route.model, route.service)
+        for _, route in present.of_kind("route", identity.workspace)
+    ]
+    wanted = change.value
+    if wanted and (wanted.model, wanted.service) not in reachable:
+        raise _forbidden(change, identity)
+
+
+def _forbidden(
+    change: control.Change, identity: _auth.Identity
+) -> errors.RequestError:
+    return errors.RequestError(
+        f"{change.key}: not allowed to operators of"
+        f" workspace {identity.workspace}",
+        code=errors.ResultCode.FORBIDDEN,
+    )
 
 
 def _check_workspace(name: str, identity: _auth.Identity) -> None:
@@ -244,5 +271,4 @@
 def _visible(rows: list[dict], identity: _auth.Identity) -> list[dict]:
     if identity.role is _auth.Role.ADMIN:
         return rows
-    mine = identity.workspace
-    return [r for r in rows if r.get("workspace", mine) == mine]
+    return [r for r in rows if r.get("workspace") == identity.workspace]
--- a/zinniadyke/entry/_serve.py
+++ b/zinniadyke/entry/_serve.py
@@ -26,9 +26,16 @@
     """
 
     def __init__(
-        self, *, status: int, content_type: str, version: str, parts
+        self,
+        *,
+        status: int,
+        content_type: str,
+        parts,
+        version: str = "",
+        target: str = "",
     ) -> None:
         """Hold the answer."""
+        self.target = target
         self.status = status
         self.content_type = content_type
         self.version = version
@@ -97,7 +104,6 @@
             return Served(
                 status=earlier.status,
                 content_type=earlier.content_type,
-                version="",
                 parts=[earlier.body],
             )
         return self._run_claimed(call, key)
@@ -150,6 +156,7 @@
             status=answer.status,
             content_type=answer.content_type,
             version=answer.version,
+            target=answer.target,
             parts=answer.parts,
         )
 
--- a/zinniadyke/fakes/_engine.py
+++ b/zinniadyke/fakes/_engine.py
@@ -81,10 +81,11 @@
 
     def state(self) -> dict:
         """Return what is loaded and the present load."""
+        stale = self.faults.reported_running
         return {
             "loaded": self.loaded,
             "digest": self.digest,
-            "running": self.running,
+            "running": self.running if stale < 0 else stale,
         }
 
     def _load(self, name, environ, start_response):
--- a/zinniadyke/fakes/_faults.py
+++ b/zinniadyke/fakes/_faults.py
@@ -54,6 +54,8 @@
         A stream ends abruptly after that many frames; -1 for never.
     stall_after_frames
         A stream stops for ``stall_s`` after that many frames.
+    reported_running
+        The load that is reported, whatever runs; -1 for the true one.
     """
 
     down: bool = False
@@ -63,4 +65,5 @@
     fail_loads: int = 0
     die_after_frames: int = -1
     stall_after_frames: int = -1
+    reported_running: int = -1
     stall_s: float = 0.0
--- a/zinniadyke/fakes/_http.py
+++ b/zinniadyke/fakes/_http.py
@@ -42,6 +42,7 @@
             log=QUIET,
             log_output=False,
             debug=False,
+            minimum_chunk_size=1,
         )
 
     def stop(self) -> None:
--- a/zinniadyke/ui/_daemons.py
+++ b/zinniadyke/ui/_daemons.py
@@ -1,9 +1,9 @@
 """The daemons: entry, agent, and the stand-ins as processes."""
 
 import argparse
+import os
 import random
 import signal
-import sys
 
 import eventlet
 from eventlet import event
@@ -47,7 +47,7 @@
     process = _make(name, own, loaded.platform.url)
     process.start()
     _wait_for_signal()
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(1))
     return 0 if process.shut_down() else 1
 
 
