Read one and a half copies for 'favour time'; docs; request bench

Cause: three zone heads at the origin fill its link for 0.75 of the wanted time, while the hosts' links allow all to be done in 0.5. Change: of 1.5 copies the second zone's head reads odd chunks.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,6 +26,7 @@
 from zinniadyke import language
 from zinniadyke import objects
 from zinniadyke import platform
+from zinniadyke.weights import _plan
 
 ZONES = ["cairo", "alexandria", "asyut"]
 READY_LIMIT_S = 120.0
@@ -243,12 +244,13 @@
 def run(fleet: Fleet, options: argparse.Namespace) -> dict:
     """Measure at rest and at one change a second."""
     accepted: dict[int, float] = {}
+    watcher = first_watcher(fleet.hosts)
 
     def change(number: int) -> None:
         revision = fleet.accept(len(accepted))
         accepted[revision] = time.time()
         if options.kill_watcher and number == options.seconds // 2:
-            fleet.agents[0].kill()
+            fleet.agents[watcher].kill()
 
     change(0)
     if not fleet.wait_in_force(1, fleet.hosts):
@@ -256,7 +258,9 @@
     time.sleep(3)
     rest = phase(fleet, options.seconds)
     busy = phase(fleet, options.seconds, change)
-    hosts = fleet.hosts[1:] if options.kill_watcher else fleet.hosts
+    hosts = list(fleet.hosts)
+    if options.kill_watcher:
+        del hosts[watcher]
     reached = fleet.wait_in_force(max(accepted), hosts)
     delays = in_force_delays(fleet, hosts, accepted)
     memory = fleet.memory_mib()
@@ -274,6 +278,13 @@
     }
 
 
+def first_watcher(hosts: list[platform.Host]) -> int:
+    """Return the index of the first watcher of the first zone."""
+    zone = [h for h in hosts if h.zone == ZONES[0]]
+    line = sorted(zone, key=lambda h: _plan.weight("sync", h.name))
+    return hosts.index(line[0])
+
+
 def in_force_delays(fleet, hosts, accepted) -> list[float]:
     """Return, per process and change, the time until in force, in s.
 
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -22,7 +22,7 @@
 POLL_S = 1.0
 RETRY_S = 2.0
 RETAIN_IDLE_S = 20.0
-ORIGIN_COPIES_FOR_TIME = 4
+ORIGIN_COPIES_FOR_TIME = 1.5
 APPEAR_TIMEOUT_S = 20.0
 
 
@@ -227,7 +227,7 @@
     ) -> weights.ChunkFetcher:
         model = name.partition("/")[0]
         current = self.node.configuration.current_rollout(model)
-        copies = 1
+        copies = 1.0
         if current and current[1].favour is objects.Favour.TIME:
             copies = ORIGIN_COPIES_FOR_TIME
         others = sum(s.size for n, s in self.stages.items() if n != name)
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -1,5 +1,8 @@
 """Measured experiments with regression bounds."""
 
+from zinniadyke.bench._requests import RequestsOptions
+from zinniadyke.bench._requests import RequestsResult
+from zinniadyke.bench._requests import run_requests
 from zinniadyke.bench._rollout import RolloutOptions
 from zinniadyke.bench._rollout import RolloutResult
 from zinniadyke.bench._rollout import run_rollout
@@ -7,7 +10,10 @@
 
 __all__ = [
     "STRATEGIES",
+    "RequestsOptions",
+    "RequestsResult",
     "RolloutOptions",
     "RolloutResult",
+    "run_requests",
     "run_rollout",
 ]
--- a/zinniadyke/bench/_strategies.py
+++ b/zinniadyke/bench/_strategies.py
@@ -11,14 +11,14 @@
 
 
 def direct(
-    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+    placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Read every chunk from the origin."""
     return []
 
 
 def chain(
-    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+    placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Ask the host before this one, in one order for all chunks."""
     order = [host for zone in placement.zones for host in zone]
@@ -27,7 +27,7 @@
 
 
 def rotated_chain(
-    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+    placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Ask the host before this one, in an order rotated by the chunk."""
     order = [host for zone in placement.order(index) for host in zone]
@@ -36,7 +36,7 @@
 
 
 def rendezvous(
-    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+    placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Binary tree over an independent permutation for each chunk."""
     hosts = [host for zone in placement.zones for host in zone]
@@ -50,7 +50,7 @@
 
 
 def random_earlier(
-    placement: weights.Placement, index: int, me: ids.HostName, copies: int
+    placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Ask hosts at random, among those before this one in the rotation."""
     order = [host for zone in placement.order(index) for host in zone]
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -54,6 +54,36 @@
         return 0
 
 
+class BenchRequestsCommand(Command):
+    """Measures what an entry adds to the engine's own time."""
+
+    name = "bench requests"
+    description = "Measures requests through an entry and direct calls."
+    options = [
+        option("rate", None, "Requests/s.", flag=False, default="195"),
+        option("seconds", None, "Time.", flag=False, default="10"),
+        option("targets", None, "Targets.", flag=False, default="6"),
+        option("read-back", None, "Engines ignore fencing numbers."),
+        option("seed", None, "Seed.", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        from zinniadyke import bench
+
+        result = bench.run_requests(
+            bench.RequestsOptions(
+                rate=whole_number(self, "rate"),
+                seconds=whole_number(self, "seconds"),
+                targets=whole_number(self, "targets"),
+                checks_fencing=not self.option("read-back"),
+                seed=whole_number(self, "seed"),
+            )
+        )
+        self.line(json.dumps(msgspec.to_builtins(result)))
+        return 0
+
+
 def whole_number(command: Command, name: str) -> int:
     """Return an option as a whole number above 0.
 
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -30,7 +30,7 @@
 
 
 Choose = Callable[
-    [_plan.Placement, int, ids.HostName, int], list[platform.Host]
+    [_plan.Placement, int, ids.HostName, float], list[platform.Host]
 ]
 
 
@@ -75,7 +75,7 @@
         placement: Callable[[], _plan.Placement],
         connect: Callable[[platform.Host], peers.PeerConnection],
         origin_client: origin.OriginClient,
-        origin_copies: int = 1,
+        origin_copies: float = 1.0,
         budget_bytes: int = 0,
         ingress: _bucket.TokenBucket | None = None,
         choose: Choose = _plan.candidates,
--- a/zinniadyke/weights/_plan.py
+++ b/zinniadyke/weights/_plan.py
@@ -48,22 +48,26 @@
     placement: Placement,
     index: int,
     me: ids.HostName,
-    origin_copies: int = 1,
+    origin_copies: float = 1.0,
 ) -> list[platform.Host]:
     """Return the hosts to ask for a chunk, the parent first.
 
     After the parent come its own ancestors, then the other hosts before
     this one. All stand earlier in the order than ``me``, so no two hosts
-    wait for each other. An empty list means: read the origin. The first
-    hosts of the first ``origin_copies`` zones read the origin.
+    wait for each other. An empty list means: read the origin. So do the
+    first hosts of the first ``origin_copies`` zones; of 1.5 copies, those
+    of one zone for even chunks and of two for odd ones.
     """
     zones = placement.order(index)
+    readers = int(index * origin_copies + origin_copies) - int(
+        index * origin_copies
+    )
     for number, zone in enumerate(zones):
         names = [host.name for host in zone]
         if me not in names:
             continue
         position = names.index(me)
-        if position == 0 and number < origin_copies:
+        if position == 0 and number < max(readers, 1):
             return []
         return _before(zones, number, position)
     return [zone[0] for zone in zones]
