Match only rows of the metrics table

Cause: the pattern took the table's header for a metric. Change: it asks for the type's whole name. Measured: tests/test_telemetry.py 1 failed before, 2 passed after.

--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -8,7 +8,9 @@
 
 
 def test_the_documented_list_equals_the_code():
-    rows = re.findall(r"^\| ([a-z._]+) \| (?:c|t|g)", LIST.read_text(), re.M)
+    rows = re.findall(
+        r"^\| ([a-z._]+) \| (?:counter|timing|gauge) ", LIST.read_text(), re.M
+    )
     assert rows == [metric.value for metric in telemetry.Metric]
 
 
