Index the configuration by kind and scope

Cause: each look-up sorted all objects, several times a request. Ruled out: the route's own comparison (5.5 us once the list is at hand). Change: a configuration builds its index once.

--- a/tests/control/test_sync.py
+++ b/tests/control/test_sync.py
@@ -176,4 +176,6 @@
         found = source.delta_from(other.revision)
         if found is not None:
             assert other.install(found)
-        assert other.configuration == source.configuration
+        assert other.revision == source.revision
+        found, wanted = other.configuration, source.configuration
+        assert found.objects == wanted.objects
--- a/zinniadyke/objects/_configuration.py
+++ b/zinniadyke/objects/_configuration.py
@@ -7,17 +7,39 @@
 from zinniadyke.objects import _rollout
 
 
-class Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    """All declared objects at one revision.
+Entries = list[tuple[_key.ObjectKey, msgspec.Struct]]
 
-    Attributes
+
+class Configuration:
+    """All declared objects at one revision, with an index by kind.
+
+    Not changed once it is built, so that look-ups for each request cost
+    the same however many objects there are.
+
+    Parameters
     ----------
     revision
         Grows by one with each accepted change; 0 before the first.
+    objects
+        Object of each key.
     """
 
-    revision: int = 0
-    objects: dict[_key.ObjectKey, msgspec.Struct] = {}
+    def __init__(
+        self,
+        *,
+        revision: int = 0,
+        objects: dict[_key.ObjectKey, msgspec.Struct] | None = None,
+    ) -> None:
+        """Build the index."""
+        self.revision = revision
+        self.objects = objects or {}
+        self.by_kind: dict[str, Entries] = {}
+        self.by_scope: dict[tuple[str, str], Entries] = {}
+        for key in sorted(self.objects):
+            item = (key, self.objects[key])
+            self.by_kind.setdefault(key.kind, []).append(item)
+            scope = (key.kind, key.scope)
+            self.by_scope.setdefault(scope, []).append(item)
 
     def get(self, kind: str, name: str, scope: str = ""):
         """Return one object or None."""
@@ -25,13 +47,11 @@
             _key.ObjectKey(kind=kind, scope=scope, name=name)
         )
 
-    def of_kind(self, kind: str, scope: str | None = None):
-        """Yield key and object of a kind, in the order of their keys."""
-        for key in sorted(self.objects):
-            if key.kind != kind:
-                continue
-            if scope is None or key.scope == scope:
-                yield key, self.objects[key]
+    def of_kind(self, kind: str, scope: str | None = None) -> Entries:
+        """Return key and object of a kind, in the order of their keys."""
+        if scope is None:
+            return self.by_kind.get(kind, [])
+        return self.by_scope.get((kind, scope), [])
 
     def models_of(self, service: str) -> list[str]:
         """Return the names of the models that a service serves."""
