--- a/zinniadyke/control/_rollouts.py
+++ b/zinniadyke/control/_rollouts.py
@@ -19,6 +19,7 @@
 
 TICK_S = 0.25
 IDLE_TICK_S = 1.0
+STATUSES_PER_S = 200
 STATUS_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 660.0
 PROGRESS_INTERVAL_S = 0.5
@@ -78,7 +79,12 @@
                 },
             )
             return IDLE_TICK_S
-        return TICK_S if any(busy) else IDLE_TICK_S
+        return self._tick_s() if any(busy) else IDLE_TICK_S
+
+    def _tick_s(self) -> float:
+        """Return the pause that keeps statuses below their rate, in s."""
+        hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
+        return max(TICK_S, len(hosts) / STATUSES_PER_S)
 
     def _models(self) -> list[str]:
         return self.node.configuration.models_of(self.service)
