Hold heartbeats until something changes; close the gate at a wrong load

Cause: an entry asked each target for its status twice a second, over the budget from the second service on, and still learned of a drain up to 0.6 s late; a load by a former agent was found at the next poll, and requests spent all attempts until then; connections to hosts that had gone were kept. Change: the agent holds a heartbeat for 2 s and answers at once when gate or version change; answers carry the load; a failed read-back closes the gate; idle connections to unlisted processes are closed.

--- /dev/null
+++ b/tests/agent/test_agent.py
@@ -0,0 +1,181 @@
+"""An agent beside its engine: restart, loss, leaving, a former agent."""
+
+import json
+
+import eventlet
+import msgspec
+import pytest
+import urllib3
+
+from zinniadyke import demo
+from zinniadyke.demo import _cluster
+from zinniadyke.demo import _demo
+from zinniadyke.demo import _traffic
+from zinniadyke import fakes
+from zinniadyke import objects
+from zinniadyke import peers
+from zinniadyke import platform
+from zinniadyke import requests
+
+LIMIT_S = 30.0
+DEPLOYMENT = demo.Deployment(
+    name="agent",
+    region="egypt",
+    zones=["cairo", "asyut"],
+    model="drafting",
+    model_service=demo.ServiceSpec(name="drafting", targets=2),
+    plain_services=[],
+    classes=["clerk"],
+    checks_fencing=False,
+    favour=objects.Favour.ORIGIN,
+    floor=1,
+    entries=1,
+)
+FLEET = """
+service drafting { kind = model }
+model drafting { service = drafting }
+workspace intake { tokens = ["%s"] }
+route drafting of intake { model = drafting }
+"""
+
+
+class System:
+    """Two targets that serve version 1, and a caller."""
+
+    def __init__(self) -> None:
+        self.cluster = demo.Cluster(deployment=DEPLOYMENT, seed=5)
+        self.pool = urllib3.PoolManager(retries=False)
+        self.token = _cluster.demo_token("intake")
+        self.cluster.start()
+        release = self.cluster.release("1", 8192, 1024)
+        text = FLEET % requests.hash_token(self.token)
+        self.apply(text + release.declaration + self.cluster.rollout("1", 1))
+        entry = self.cluster.entries[0]
+        assert self.wait(lambda: _demo._sees_all(self.cluster, entry))
+
+    def apply(self, text: str) -> None:
+        self.cluster.operator().send("apply", text)
+
+    def wait(self, condition) -> bool:
+        with eventlet.Timeout(LIMIT_S, False):
+            while not condition():
+                eventlet.sleep(0.01)
+            return True
+        return False
+
+    def ask(self) -> str:
+        """Send a request; return what is wrong with the answer."""
+        answer = self.pool.request(
+            "POST",
+            self.cluster.entries[0].url + "/v1/completions",
+            body=json.dumps({"model": "drafting", "prompt": "x"}),
+            headers={"Authorization": f"Bearer {self.token}"},
+            timeout=LIMIT_S,
+        )
+        if answer.status != 200:
+            return f"{answer.status}: {answer.data!r}"
+        content = self.cluster.releases["1"].content
+        words = fakes.expected_words(content, "x")
+        return _traffic.check_completion(answer.data, False, words)
+
+
+@pytest.fixture
+def system():
+    made = System()
+    yield made
+    made.cluster.stop()
+
+
+def test_a_restarted_agent_serves_without_a_reload(system):
+    cluster = system.cluster
+    before = dict(cluster.origin.bytes_sent)
+    for number, name in enumerate(["drafting-1", "drafting-2"]):
+        cluster.agents[name].stop()
+        engine = cluster.engines[name]
+        cluster.make_agent(name, "drafting", number, engine.url).start()
+        cluster.publish_hosts()
+        assert system.wait(lambda: len(cluster.serving("1")) == 2)
+    assert [e.loads for e in cluster.engines.values()] == [["drafting/1"]] * 2
+    assert system.ask() == ""
+    size = cluster.releases["1"].size
+    read = cluster.origin.bytes_sent["drafting-1"]
+    assert read - before["drafting-1"] <= size
+
+
+def test_an_engine_that_lost_its_weights_gets_them_again(system):
+    engine = system.cluster.engines["drafting-2"]
+    engine.loaded, engine.digest = "", ""
+    assert system.wait(lambda: len(system.cluster.serving("1")) == 1)
+    assert system.ask() == ""
+    assert system.wait(lambda: len(system.cluster.serving("1")) == 2)
+    assert engine.loads == ["drafting/1", "drafting/1"]
+
+
+def test_a_load_by_a_former_agent_reaches_no_caller(system):
+    cluster = system.cluster
+    for engine in cluster.engines.values():
+        system.pool.request(
+            "PUT",
+            engine.url + "/v1/weights/drafting/9",
+            body=b"other weights",
+            headers={"Fencing-Number": "1"},
+        )
+    tasks = [eventlet.spawn(system.ask) for _ in range(10)]
+    assert all("wrong" not in task.wait() for task in tasks)
+    assert system.wait(lambda: len(cluster.serving("1")) == 2)
+    assert system.ask() == ""
+
+
+@pytest.mark.parametrize("way", ["listed as leaving", "drained"])
+def test_a_leaving_target_ends_its_work_and_takes_no_more(system, way):
+    cluster = system.cluster
+    agent = cluster.agents["drafting-1"]
+    engine = cluster.engines["drafting-1"]
+    engine.seconds_per_word = 0.2
+    running = [eventlet.spawn(system.ask) for _ in range(6)]
+    assert system.wait(lambda: engine.running > 0)
+    if way == "drained":
+        system.apply("drain target drafting-1")
+    else:
+        leaving = platform.HostState.LEAVING
+        cluster.platform.set_hosts(
+            [
+                msgspec.structs.replace(h, state=leaving)
+                if h.name == "drafting-1"
+                else h
+                for h in cluster.platform.hosts()
+            ]
+        )
+    draining = peers.GateState.DRAINING
+    assert system.wait(lambda: agent.status().gate is draining)
+    runs = len(engine.runs)
+    assert [task.wait() for task in running] == [""] * 6
+    assert [system.ask() for _ in range(6)] == [""] * 6
+    assert len(engine.runs) == runs
+
+
+def test_a_drained_target_comes_back_when_restored(system):
+    agent = system.cluster.agents["drafting-1"]
+    system.apply("drain target drafting-1")
+    assert system.wait(lambda: agent.gate.refusing)
+    system.apply("restore target drafting-1")
+    serving = peers.GateState.SERVING
+    assert system.wait(lambda: agent.status().gate is serving)
+
+
+def test_bytes_are_freed_once_idle_but_at_seeds(system, monkeypatch):
+    monkeypatch.setattr("zinniadyke.agent._stager.RETAIN_IDLE_S", 0.1)
+    stagers = [a.stager for a in system.cluster.agents.values()]
+    seeds = {host.name for host in _seeds(system.cluster)}
+    for stager in stagers:
+        name = stager.node.me.name
+        if name not in seeds:
+            assert system.wait(lambda s=stager: not s.stages)
+        else:
+            assert stager.stages
+
+
+def _seeds(cluster):
+    stager = cluster.agents["drafting-1"].stager
+    placement = stager._placement("drafting/1")
+    return [zone[0] for zone in placement.zones]
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -127,7 +127,7 @@
         bool
             Whether all work ended within the grace.
         """
-        self.gate.shutting_down = True
+        self.gate.refuse(shutting_down=True)
         ended = self.gate.drain(self.settings.grace_s)
         self.stop(LINGER_MS)
         return ended
@@ -135,15 +135,12 @@
     def status(self) -> peers.Status:
         """Return the agent's status."""
         gate = self.gate
-        state = gate.state
-        if gate.refusing and state is peers.GateState.SERVING:
-            state = peers.GateState.DRAINING
         return peers.Status(
             host=self.node.me.name,
             zone=self.node.me.zone,
             service=self.service,
             incarnation=self.node.incarnation,
-            gate=state,
+            gate=gate.shown,
             version=gate.version,
             staged=self.stager.staged(),
             running=len(gate.running),
@@ -154,6 +151,11 @@
         )
 
     def _answer_status(self, inbound: peers.Inbound) -> None:
+        question = inbound.message
+        if question.wait_s > 0:
+            self.gate.wait_change(
+                question.gate, question.version, question.wait_s
+            )
         inbound.reply(self.status())
 
     def _follow(self) -> None:
@@ -169,7 +171,7 @@
         if service is None:
             return
         self.gate.slots = service.slots
-        self.gate.leaving = self._leaving()
+        self.gate.refuse(leaving=self._leaving())
         self.runner.verifies = self._needs_read_back(service)
         if service.kind is objects.ServiceKind.PLAIN:
             if self.gate.state is peers.GateState.CLOSED:
--- a/zinniadyke/agent/_engine_watch.py
+++ b/zinniadyke/agent/_engine_watch.py
@@ -76,9 +76,7 @@
             if state.loaded:
                 self._adopt(state)
         elif not self.holds(state, self.gate.version):
-            lost = self.gate.version
-            self._close_gate("the engine holds something else")
-            self.stager.restage(lost)
+            self._close_lost()
 
     def holds(self, state: engine.EngineState, version: str) -> bool:
         """Return whether the engine holds the whole of ``version``."""
@@ -88,11 +86,25 @@
         return (state.loaded, state.digest) == (version, manifest.content)
 
     def verify(self, version: str) -> bool:
-        """Read the engine and return whether it holds ``version``."""
+        """Read the engine and return whether it holds ``version``.
+
+        If it holds something else the gate is closed at once.
+        """
         try:
-            return self.holds(self.client.state(), version)
+            state = self.client.state()
         except errors.EngineError:
             return False
+        if self.holds(state, version):
+            return True
+        if self.gate.version == version and not self.busy():
+            self._close_lost()
+        return False
+
+    def _close_lost(self) -> None:
+        """Close the gate and fetch again what the engine has lost."""
+        lost = self.gate.version
+        self._close_gate("the engine holds something else")
+        self.stager.restage(lost)
 
     def _adopt(self, state: engine.EngineState) -> None:
         """Admit what the engine held before this agent began."""
--- a/zinniadyke/agent/_gate.py
+++ b/zinniadyke/agent/_gate.py
@@ -4,6 +4,7 @@
 import time
 
 import eventlet
+from eventlet import event
 import msgspec
 
 from zinniadyke import errors
@@ -46,6 +47,7 @@
 
     def __init__(self) -> None:
         """Start closed."""
+        self.changed = event.Event()
         self.state = peers.GateState.CLOSED
         self.version = ""
         self.slots = 0
@@ -65,11 +67,43 @@
         """Admit requests for ``version``."""
         self.version = version
         self.state = peers.GateState.SERVING
+        self.note_change()
 
     def close(self) -> None:
         """Admit nothing."""
         self.state = peers.GateState.CLOSED
         self.version = ""
+        self.note_change()
+
+    @property
+    def shown(self) -> peers.GateState:
+        """The state that others are told."""
+        if self.refusing and self.state is peers.GateState.SERVING:
+            return peers.GateState.DRAINING
+        return self.state
+
+    def note_change(self) -> None:
+        """Wake those who wait for a change."""
+        changed, self.changed = self.changed, event.Event()
+        changed.send()
+
+    def wait_change(
+        self, shown: peers.GateState, version: str, timeout_s: float
+    ) -> None:
+        """Wait until state or version differ, for ``timeout_s`` at most."""
+        with eventlet.Timeout(timeout_s, False):
+            while (self.shown, self.version) == (shown, version):
+                self.changed.wait()
+
+    def refuse(
+        self, *, leaving: bool = False, shutting_down: bool = False
+    ) -> None:
+        """Set whether new work is refused although a version serves."""
+        before = self.refusing
+        self.leaving = leaving
+        self.shutting_down = self.shutting_down or shutting_down
+        if self.refusing != before:
+            self.note_change()
 
     def admit(self, key: AttemptKey, version: str) -> None:
         """Let an attempt in, or say why it does not run.
@@ -113,6 +147,7 @@
         """Stop admitting and wait; False if work is left in progress."""
         if self.state is peers.GateState.SERVING:
             self.state = peers.GateState.DRAINING
+            self.note_change()
         deadline = time.monotonic() + timeout_s
         while self.running and time.monotonic() < deadline:
             eventlet.sleep(DRAIN_POLL_S)
--- a/zinniadyke/agent/_runner.py
+++ b/zinniadyke/agent/_runner.py
@@ -140,5 +140,6 @@
             incarnation=self.incarnation,
             sequence=sequence,
             code=code.number,
+            running=max(0, len(self.gate.running) - 1),
             detail=error.message if error else "",
         )
--- a/zinniadyke/control/_node.py
+++ b/zinniadyke/control/_node.py
@@ -47,6 +47,7 @@
             store=self.store,
             client=self.client,
             connect=self.connect_address,
+            hosts_changed=self._close_unlisted,
             seeds=seeds,
         )
         self.server.handle(peers.Sync, self.sync.serve)
@@ -92,6 +93,13 @@
         if found is not None:
             found.close()
 
+    def _close_unlisted(self) -> None:
+        """Close idle connections to processes that are not listed."""
+        listed = {host.peer for host in self.sync.hosts}
+        for address, connection in list(self.connections.items()):
+            if address not in listed and not connection.calls:
+                self.disconnect(address)
+
     def start(self) -> None:
         """Begin to answer peers and to follow the configuration."""
         self.server.start()
--- a/zinniadyke/control/_sync.py
+++ b/zinniadyke/control/_sync.py
@@ -39,6 +39,10 @@
     ----------
     me
         This process's own record.
+    connect
+        Returns the connection to ``ip:port``.
+    hosts_changed
+        Called when a host list has come.
     seeds
         ``ip:port`` of peers to ask when neither the platform nor a host
         list is there.
@@ -51,6 +55,7 @@
         store: _store.ConfigStore,
         client: platform.PlatformClient,
         connect,
+        hosts_changed,
         seeds: list[str],
     ) -> None:
         """Hold the parts; ``start`` begins the tasks."""
@@ -58,6 +63,7 @@
         self.store = store
         self.client = client
         self.connect = connect
+        self.hosts_changed = hosts_changed
         self.seeds = seeds
         self.hosts: list[platform.Host] = []
         self.hosts_digest = ""
@@ -201,4 +207,5 @@
         """Put a host list in force."""
         encoded = msgspec.json.encode(hosts)
         self.hosts = hosts
+        self.hosts_changed()
         self.hosts_digest = hashlib.sha256(encoded).hexdigest()[:16]
--- a/zinniadyke/entry/_attempt.py
+++ b/zinniadyke/entry/_attempt.py
@@ -153,6 +153,7 @@
     def _check_end(self, answer: peers.End) -> None:
         self.ended = True
         self.link.connection.finish(self.exchange)
+        self.link.note_running(answer.running)
         code = errors.ResultCode.from_number(answer.code)
         if code is not errors.ResultCode.OK:
             raise errors.RequestError(answer.detail, code=code)
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -175,5 +175,5 @@
             return
         raise errors.RequestError(
             code=errors.ResultCode.NO_TARGET,
-            retry_after_s=_target_link.HEARTBEAT_TIMEOUT_S,
+            retry_after_s=_target_link.HEARTBEAT_HOLD_S,
         )
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -5,14 +5,17 @@
 
 import eventlet
 
+import msgspec
+
 from zinniadyke import errors
 from zinniadyke import peers
 from zinniadyke import platform
 
 LOG = logging.getLogger(__name__)
 
-HEARTBEAT_S = 0.5
-HEARTBEAT_TIMEOUT_S = 1.0
+HEARTBEAT_HOLD_S = 2.0
+HEARTBEAT_TIMEOUT_S = 0.5
+RETRY_S = 0.1
 MISSED_LIMIT = 2
 EJECT_FAILURES = 5
 EJECT_S = 5.0
@@ -117,17 +120,16 @@
     def _heartbeats(self) -> None:
         while True:
             self._beat()
-            eventlet.sleep(HEARTBEAT_S * random.uniform(0.8, 1.2))
 
     def _beat(self) -> None:
+        question = self._question()
         try:
             status, _ = self.connection.ask(
-                peers.GetStatus(), HEARTBEAT_TIMEOUT_S
+                question, question.wait_s + HEARTBEAT_TIMEOUT_S
             )
         except errors.PeerTimeoutError:
             self._miss()
-            return
-        if not isinstance(status, peers.Status):
+            eventlet.sleep(RETRY_S * random.uniform(0.5, 1.0))
             return
         before = self.status
         self.status = status
@@ -137,6 +139,21 @@
             self.connection.fail_calls()
         self.changed()
 
+    def _question(self) -> peers.GetStatus:
+        """Return the heartbeat; held by the agent if all is well."""
+        if self.status is None or self.missed:
+            return peers.GetStatus()
+        return peers.GetStatus(
+            wait_s=HEARTBEAT_HOLD_S * random.uniform(0.8, 1.0),
+            gate=self.status.gate,
+            version=self.status.version,
+        )
+
+    def note_running(self, running: int) -> None:
+        """Take over the load that came with an answer."""
+        if self.status is not None:
+            self.status = msgspec.structs.replace(self.status, running=running)
+
     def _miss(self) -> None:
         self.missed += 1
         if self.missed == MISSED_LIMIT:
--- a/zinniadyke/peers/_messages.py
+++ b/zinniadyke/peers/_messages.py
@@ -88,6 +88,8 @@
         Number of Frames messages that were sent.
     code
         Number of the result code.
+    running
+        Attempts that are in progress at the agent.
     """
 
     request_id: ids.RequestId
@@ -95,6 +97,7 @@
     incarnation: ids.Incarnation
     sequence: int
     code: int
+    running: int = 0
     detail: str = ""
 
 
@@ -115,7 +118,20 @@
 
 
 class GetStatus(Message):
-    """Ask an agent for its status; serves as the heartbeat."""
+    """Ask an agent for its status; serves as the heartbeat.
+
+    Attributes
+    ----------
+    wait_s
+        How long the agent may hold the answer, in seconds; it answers
+        earlier once gate or version differ from those known.
+    gate, version
+        What the one who asks knows.
+    """
+
+    wait_s: float = 0.0
+    gate: GateState = GateState.CLOSED
+    version: str = ""
 
 
 class Status(Message):
