Reach other packages only through their public names

Cause: 30 imports went to private modules of other packages; the demo drew on the command line's files; ordering by hash lived with the weights.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,7 +26,7 @@
 from zinniadyke import language
 from zinniadyke import objects
 from zinniadyke import platform
-from zinniadyke.weights import _plan
+from zinniadyke import rendezvous
 
 ZONES = ["cairo", "alexandria", "asyut"]
 READY_LIMIT_S = 120.0
@@ -281,7 +281,7 @@
 def first_watcher(hosts: list[platform.Host]) -> int:
     """Return the index of the first watcher of the first zone."""
     zone = [h for h in hosts if h.zone == ZONES[0]]
-    line = sorted(zone, key=lambda h: _plan.weight("sync", h.name))
+    line = sorted(zone, key=lambda h: rendezvous.weight("sync", h.name))
     return hosts.index(line[0])
 
 
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -8,9 +8,6 @@
 import urllib3
 
 from zinniadyke import demo
-from zinniadyke.demo import _cluster
-from zinniadyke.demo import _demo
-from zinniadyke.demo import _traffic
 from zinniadyke import fakes
 from zinniadyke import objects
 from zinniadyke import peers
@@ -45,13 +42,13 @@
     def __init__(self) -> None:
         self.cluster = demo.Cluster(deployment=DEPLOYMENT, seed=5)
         self.pool = urllib3.PoolManager(retries=False)
-        self.token = _cluster.demo_token("intake")
+        self.token = demo.demo_token("intake")
         self.cluster.start()
         release = self.cluster.release("1", 8192, 1024)
         text = FLEET % requests.hash_token(self.token)
         self.apply(text + release.declaration + self.cluster.rollout("1", 1))
         entry = self.cluster.entries[0]
-        assert self.wait(lambda: _demo._sees_all(self.cluster, entry))
+        assert self.wait(lambda: self.cluster.sees_all(entry))
 
     def apply(self, text: str) -> None:
         self.cluster.operator().send("apply", text)
@@ -76,7 +73,7 @@
             return f"{answer.status}: {answer.data!r}"
         content = self.cluster.releases["1"].content
         words = fakes.expected_words(content, "x")
-        return _traffic.check_completion(answer.data, False, words)
+        return demo.check_completion(answer.data, False, words)
 
 
 @pytest.fixture
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -9,8 +9,6 @@
 import urllib3
 
 from zinniadyke import demo
-from zinniadyke.demo import _cluster
-from zinniadyke.demo import _demo
 from zinniadyke import errors
 from zinniadyke import objects
 from zinniadyke import requests
@@ -34,11 +32,11 @@
 service records {{ kind = plain idempotent = ["POST /find"] }}
 model drafting {{ service = drafting }}
 workspace intake {{
-  tokens = ["{requests.hash_token(_cluster.demo_token("intake"))}"]
+  tokens = ["{requests.hash_token(demo.demo_token("intake"))}"]
   operator_tokens = ["{requests.hash_token(OPERATOR)}"]
 }}
 workspace other {{
-  tokens = ["{requests.hash_token(_cluster.demo_token("other"))}"]
+  tokens = ["{requests.hash_token(demo.demo_token("other"))}"]
 }}
 route drafting of intake {{ model = drafting }}
 route records of intake {{ service = records }}
@@ -58,12 +56,12 @@
         text = FLEET + release.declaration + self.cluster.rollout("1", 1)
         self.cluster.operator().send("apply", text)
         entry = self.cluster.entries[0]
-        while not _demo._sees_all(self.cluster, entry):
+        while not self.cluster.sees_all(entry):
             eventlet.sleep(0.02)
         self.url = entry.url
 
     def post(self, path, body, token=None, headers=None, method="POST"):
-        token = token or _cluster.demo_token("intake")
+        token = token or demo.demo_token("intake")
         every = {"Authorization": f"Bearer {token}", **(headers or {})}
         answer = self.pool.request(
             method, self.url + path, body=body, headers=every, timeout=20
@@ -146,7 +144,7 @@
 
 
 def test_a_workspace_reaches_only_its_own(system):
-    other = _cluster.demo_token("other")
+    other = demo.demo_token("other")
     body = json.dumps({"model": "drafting", "prompt": "x"})
     _, code = system.post("/v1/completions", body, token=other)
     assert code is errors.ResultCode.NOT_FOUND
@@ -189,7 +187,7 @@
 
 
 def test_a_rate_limit_says_when_to_come_back(system):
-    token = _cluster.demo_token("other")
+    token = demo.demo_token("other")
     answers = [
         system.post("/services/records/find", "x", token) for _ in range(3)
     ]
@@ -216,7 +214,7 @@
     body = json.dumps({**CHAT, "stream": True})
     engine = system.cluster.engines["drafting-1"]
     engine.faults.stall_after_frames, engine.faults.stall_s = 1, 3600
-    token = _cluster.demo_token("intake")
+    token = demo.demo_token("intake")
     try:
         answer = system.pool.request(
             "POST",
--- a/tests/faults/request_cell.py
+++ b/tests/faults/request_cell.py
@@ -6,13 +6,11 @@
 import urllib3
 
 from zinniadyke import demo
-from zinniadyke.demo import _cluster
-from zinniadyke.demo import _demo
-from zinniadyke.demo import _traffic
 from zinniadyke import errors
 from zinniadyke import fakes
 from zinniadyke import objects
 from zinniadyke import peers
+from zinniadyke import requests
 
 DEPLOYMENT = demo.Deployment(
     name="cell",
@@ -39,7 +37,7 @@
 CALLER_LIMIT_S = 15.0
 LIMIT_S = 30.0
 LATE_S = 0.6
-TOKEN = _cluster.demo_token("intake")
+TOKEN = demo.demo_token("intake")
 ENTRY_STEPS = ("accept", "queue", "dispatch", "acknowledge")
 AGENT_STEPS = ("first frame", "middle", "last frame")
 STEPS = ENTRY_STEPS + AGENT_STEPS
@@ -107,13 +105,11 @@
     def start(self) -> None:
         cluster = self.cluster
         cluster.start()
-        hashed = _cluster.requests.hash_token(TOKEN)
+        hashed = requests.hash_token(TOKEN)
         first = cluster.release("1", 4 * KIB, KIB)
         text = FLEET % hashed + first.declaration + cluster.rollout("1", 1)
         cluster.operator().send("apply", text)
-        self.wait(
-            lambda: all(_demo._sees_all(cluster, e) for e in cluster.entries)
-        )
+        self.wait(lambda: all(cluster.sees_all(e) for e in cluster.entries))
         cluster.release("2", 4 * KIB, KIB)
         self._hook()
 
@@ -260,7 +256,7 @@
         content = self.cluster.releases[version].content
         words = fakes.expected_words(content, "a claim")
         stream = probe.name == "stream"
-        wrong = _traffic.check_completion(probe.data, stream, words)
+        wrong = demo.check_completion(probe.data, stream, words)
         return [f"{probe.name}: {wrong}"] if wrong else []
 
     def check_runs(self, every: list[Probe]) -> list[str]:
--- a/tests/faults/rollout_cell.py
+++ b/tests/faults/rollout_cell.py
@@ -6,11 +6,9 @@
 import msgspec
 
 from zinniadyke import demo
-from zinniadyke.demo import _cluster
-from zinniadyke.demo import _demo
-from zinniadyke.demo import _traffic
 from zinniadyke import errors
 from zinniadyke import objects
+from zinniadyke import requests
 
 DEPLOYMENT = demo.Deployment(
     name="cell",
@@ -58,7 +56,7 @@
         self.taken = 0
         self.wanted = NEW
         self.stopped: set[str] = set()
-        self.traffic = _traffic.Traffic(
+        self.traffic = demo.Traffic(
             cluster=self.cluster, rate=CALLS_PER_S, seed=7
         )
         self.sampler = None
@@ -80,22 +78,20 @@
     def start(self) -> None:
         cluster = self.cluster
         cluster.start()
-        token = _cluster.demo_token("intake")
-        hashed = _cluster.requests.hash_token(token)
+        token = demo.demo_token("intake")
+        hashed = requests.hash_token(token)
         first = cluster.release(OLD, 4 * KIB, KIB)
         self.apply(
             FLEET % hashed + first.declaration + cluster.rollout(OLD, 1)
         )
         self.wait(lambda: len(cluster.serving(OLD)) == 4)
-        self.wait(
-            lambda: all(_demo._sees_all(cluster, e) for e in cluster.entries)
-        )
+        self.wait(lambda: all(cluster.sees_all(e) for e in cluster.entries))
         for agent in cluster.agents.values():
             agent.stager.upload.bytes_per_s = LINK_MIB_S * KIB * KIB
         for engine in cluster.engines.values():
             engine.faults.load_s = LOAD_S
         self.traffic.start()
-        self.sampler = _demo.FloorSampler(cluster=cluster, version=NEW)
+        self.sampler = demo.FloorSampler(cluster=cluster, version=NEW)
         cluster.release(NEW, SIZE, CHUNK)
         cluster.release(NEWER, SIZE, CHUNK)
 
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -10,7 +10,7 @@
 from zinniadyke.agent import _orders
 from zinniadyke.agent import _runner
 from zinniadyke.agent import _stager
-from zinniadyke.control import _node
+from zinniadyke import control
 from zinniadyke import engine
 from zinniadyke import errors
 from zinniadyke import ids
@@ -41,7 +41,7 @@
     def __init__(self, *, settings: AgentSettings, platform_url: str) -> None:
         """Bind the peer socket; ``start`` begins the work."""
         self.settings = settings
-        self.node = _node.Node(
+        self.node = control.Node(
             me=platform.Host(
                 name=ids.HostName(settings.name),
                 role=platform.HostRole.TARGET,
--- a/zinniadyke/agent/_fence.py
+++ b/zinniadyke/agent/_fence.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from zinniadyke.control import _lease
-from zinniadyke.control import _rollouts
+from zinniadyke import control
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import platform
@@ -40,7 +39,7 @@
         """Start with an unknown floor."""
         self.client = client
         self.key = AGENT_PREFIX + host
-        self.lease_key = _rollouts.lease_key(service)
+        self.lease_key = control.lease_key(service)
         self.incarnation = incarnation
         self.highest: int | None = None
         self.registered = False
@@ -58,7 +57,7 @@
             The floor cannot be read.
         """
         if self.highest is None:
-            self.highest = _lease.lease_fence(self.client, self.lease_key)
+            self.highest = control.lease_fence(self.client, self.lease_key)
         if fence < self.highest:
             raise errors.OrderRefusedError(
                 f"fencing number {fence} is below {self.highest}",
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -7,7 +7,7 @@
 from eventlet import event
 
 from zinniadyke.agent import _gate
-from zinniadyke.control import _node
+from zinniadyke import control
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import objects
@@ -42,7 +42,7 @@
     def __init__(
         self,
         *,
-        node: _node.Node,
+        node: control.Node,
         service: ids.ServiceName,
         gate: _gate.Gate,
         budget_bytes: int,
--- a/zinniadyke/bench/_requests.py
+++ b/zinniadyke/bench/_requests.py
@@ -10,13 +10,11 @@
 import urllib3
 
 from zinniadyke import demo
-from zinniadyke.demo import _cluster
-from zinniadyke.demo import _demo
 from zinniadyke import objects
 from zinniadyke import requests
 
 KIB = 1024
-WORDS_S = 0.002
+POLL_S = 0.02
 CALL_TIMEOUT_S = 30.0
 PROMPT = {"model": "drafting", "prompt": "a claim"}
 FLEET = """
@@ -113,21 +111,21 @@
 
 def _prepare(cluster, options: RequestsOptions) -> None:
     cluster.start()
-    token = requests.hash_token(_cluster.demo_token("intake"))
+    token = requests.hash_token(demo.demo_token("intake"))
     release = cluster.release("1", 4 * KIB, KIB)
     text = FLEET.format(token=token)
     if options.checks_fencing:
         text = text.replace("slots", "checks_fencing = true slots")
     text += release.declaration + cluster.rollout("1", 1)
     cluster.operator().send("apply", text)
-    while not _demo._sees_all(cluster, cluster.entries[0]):
-        eventlet.sleep(_demo.SAMPLE_S)
+    while not cluster.sees_all(cluster.entries[0]):
+        eventlet.sleep(POLL_S)
 
 
 def _measure(cluster, options: RequestsOptions) -> RequestsResult:
     pool = urllib3.PoolManager(maxsize=256, retries=False)
     body = json.dumps(PROMPT)
-    token = _cluster.demo_token("intake")
+    token = demo.demo_token("intake")
     chosen = random.Random(options.seed)
     engines = [engine.url for engine in cluster.engines.values()]
 
--- a/zinniadyke/bench/_strategies.py
+++ b/zinniadyke/bench/_strategies.py
@@ -4,8 +4,8 @@
 
 from zinniadyke import ids
 from zinniadyke import platform
+from zinniadyke import rendezvous
 from zinniadyke import weights
-from zinniadyke.weights import _plan
 
 Hosts = list[platform.Host]
 
@@ -35,16 +35,16 @@
     return order[:position][::-1]
 
 
-def rendezvous(
+def permuted_tree(
     placement: weights.Placement, index: int, me: ids.HostName, copies: float
 ) -> Hosts:
     """Binary tree over an independent permutation for each chunk."""
     hosts = [host for zone in placement.zones for host in zone]
-    order = sorted(hosts, key=lambda h: _plan.weight(str(index), h.name))
+    order = sorted(hosts, key=lambda h: rendezvous.weight(str(index), h.name))
     position = [host.name for host in order].index(me)
     ancestors = []
     while position > 0:
-        position = (position - 1) // _plan.ARITY
+        position = (position - 1) // weights.ARITY
         ancestors.append(order[position])
     return ancestors
 
@@ -65,6 +65,6 @@
     "direct": direct,
     "chain": chain,
     "rotated-chain": rotated_chain,
-    "rendezvous": rendezvous,
+    "permuted-tree": permuted_tree,
     "random": random_earlier,
 }
--- a/zinniadyke/control/__init__.py
+++ b/zinniadyke/control/__init__.py
@@ -3,6 +3,7 @@
 from zinniadyke.control._accept import accept
 from zinniadyke.control._accept import Accepted
 from zinniadyke.control._accept import change_outcome
+from zinniadyke.control._accept import load_configuration
 from zinniadyke.control._change import Change
 from zinniadyke.control._change import plan_changes
 from zinniadyke.control._head import Head
@@ -13,8 +14,10 @@
 from zinniadyke.control._node import Node
 from zinniadyke.control._permits import PermitBook
 from zinniadyke.control._permits import Permits
+from zinniadyke.control._progress import read_progress
+from zinniadyke.control._progress import RolloutProgress
+from zinniadyke.control._rollouts import lease_key
 from zinniadyke.control._rollouts import RolloutController
-from zinniadyke.control._rollouts import RolloutProgress
 from zinniadyke.control._store import ConfigStore
 
 __all__ = [
@@ -32,6 +35,9 @@
     "accept",
     "change_outcome",
     "lease_fence",
+    "lease_key",
+    "load_configuration",
     "plan_changes",
     "read_head",
+    "read_progress",
 ]
--- a/zinniadyke/control/_change.py
+++ b/zinniadyke/control/_change.py
@@ -4,7 +4,6 @@
 
 from zinniadyke import errors
 from zinniadyke import objects
-from zinniadyke.objects import _configuration
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +65,6 @@
         else:
             after[change.key] = change.value
     result = objects.Configuration(objects=after)
-    faults = _configuration.check_references(result)
+    faults = objects.check_references(result)
     if faults:
         raise errors.DeclarationError("; ".join(faults))
--- a/zinniadyke/control/_rollouts.py
+++ b/zinniadyke/control/_rollouts.py
@@ -24,8 +24,6 @@
 ORDER_TIMEOUT_S = 660.0
 PROGRESS_INTERVAL_S = 0.5
 
-RolloutProgress = _progress.RolloutProgress
-
 
 class RolloutController:
     """Paces activation for a service while its lease is held.
--- a/zinniadyke/control/_sync.py
+++ b/zinniadyke/control/_sync.py
@@ -19,7 +19,7 @@
 from zinniadyke import errors
 from zinniadyke import peers
 from zinniadyke import platform
-from zinniadyke.weights import _plan
+from zinniadyke import rendezvous
 
 LOG = logging.getLogger(__name__)
 
@@ -97,7 +97,7 @@
     def line(self) -> list[platform.Host]:
         """Return the processes of the zone, watchers first."""
         zone = [h for h in self.hosts if h.zone == self.me.zone]
-        return sorted(zone, key=lambda h: _plan.weight("sync", h.name))
+        return sorted(zone, key=lambda h: rendezvous.weight("sync", h.name))
 
     def _newer_hosts(self, question: peers.Sync) -> list[platform.Host] | None:
         if not self.hosts or question.hosts_digest == self.hosts_digest:
--- a/zinniadyke/demo/__init__.py
+++ b/zinniadyke/demo/__init__.py
@@ -1,12 +1,17 @@
 """The whole path in one process, on the stand-ins."""
 
 from zinniadyke.demo._cluster import Cluster
+from zinniadyke.demo._cluster import demo_token
 from zinniadyke.demo._demo import DemoOptions
 from zinniadyke.demo._demo import run_demo
 from zinniadyke.demo._deployment import Deployment
 from zinniadyke.demo._deployment import DEPLOYMENTS
 from zinniadyke.demo._deployment import ServiceSpec
+from zinniadyke.demo._floor_sampler import FloorSampler
 from zinniadyke.demo._report import DemoReport
+from zinniadyke.demo._report import format_report
+from zinniadyke.demo._traffic import check_completion
+from zinniadyke.demo._traffic import Traffic
 
 __all__ = [
     "DEPLOYMENTS",
@@ -14,6 +19,11 @@
     "DemoOptions",
     "DemoReport",
     "Deployment",
+    "FloorSampler",
     "ServiceSpec",
+    "Traffic",
+    "check_completion",
+    "demo_token",
+    "format_report",
     "run_demo",
 ]
--- a/zinniadyke/demo/_cluster.py
+++ b/zinniadyke/demo/_cluster.py
@@ -12,11 +12,10 @@
 from zinniadyke import fakes
 from zinniadyke import language
 from zinniadyke import objects
+from zinniadyke import operators
 from zinniadyke import requests
 from zinniadyke.settings import AgentSettings
 from zinniadyke.settings import EntrySettings
-from zinniadyke.ui import _files
-from zinniadyke.ui import _operator_client
 from zinniadyke import weights
 
 MIB = 1 << 20
@@ -185,16 +184,16 @@
         )
         return language.render_object(key, declared)
 
-    def operator(self, number: int = 0) -> _operator_client.OperatorClient:
+    def operator(self, number: int = 0) -> operators.OperatorClient:
         """Return an operator's client of one of the entries."""
-        return _operator_client.OperatorClient(
+        return operators.OperatorClient(
             url=self.entries[number].url, token=self.admin_token
         )
 
     def apply_files(self, directory: pathlib.Path) -> dict:
         """Apply the deployment's declaration files."""
-        files = _files.declaration_files([str(directory)])
-        text = "\n".join(_files.read_text(path) for path in files)
+        files = operators.declaration_files([str(directory)])
+        text = "\n".join(operators.read_text(path) for path in files)
         return self.operator().send("apply", text)
 
     def origin_copies(self, version: str) -> float:
@@ -213,6 +212,17 @@
             and self.agents[host].gate.state.value == "serving"
         ]
 
+    def sees_all(self, process: entry.Entry) -> bool:
+        """Return whether an entry could send work to every target."""
+        links = [
+            link
+            for pool in process.requests.pools.values()
+            for link in pool.links.values()
+        ]
+        return len(links) == len(self.agents) and all(
+            link.admitting for link in links
+        )
+
     def serving_any(self) -> int:
         """Return how many targets of the model serve anything."""
         return sum(
--- a/zinniadyke/demo/_demo.py
+++ b/zinniadyke/demo/_demo.py
@@ -9,6 +9,7 @@
 
 from zinniadyke.demo import _cluster
 from zinniadyke.demo import _deployment
+from zinniadyke.demo import _floor_sampler
 from zinniadyke.demo import _report
 from zinniadyke.demo import _traffic
 from zinniadyke import errors
@@ -44,27 +45,6 @@
     rate: float = CALLS_PER_S
 
 
-class FloorSampler:
-    """Notes when replicas begin to serve, and the least that served."""
-
-    def __init__(self, *, cluster: _cluster.Cluster, version: str) -> None:
-        """Start to sample."""
-        self.cluster = cluster
-        self.version = version
-        self.begun = time.monotonic()
-        self.least = cluster.serving_any()
-        self.times_s: list[float] = []
-        self.task = eventlet.spawn(self._run)
-
-    def _run(self) -> None:
-        while True:
-            self.least = min(self.least, self.cluster.serving_any())
-            serving = len(self.cluster.serving(self.version))
-            while len(self.times_s) < serving:
-                self.times_s.append(time.monotonic() - self.begun)
-            eventlet.sleep(SAMPLE_S)
-
-
 def run_demo(
     options: DemoOptions, say: Callable[[str], None]
 ) -> _report.DemoReport:
@@ -118,7 +98,7 @@
     release = cluster.release("2", options.size, chunk_size)
     text = release.declaration + cluster.rollout("2", 2)
     say(text.rstrip())
-    sampler = FloorSampler(cluster=cluster, version="2")
+    sampler = _floor_sampler.FloorSampler(cluster=cluster, version="2")
     cluster.operator(1).send("apply", text)
     _wait_rollout(cluster, "2", say)
     eventlet.sleep(TAIL_S)
@@ -160,21 +140,10 @@
 
 def _wait_services(cluster) -> None:
     with eventlet.Timeout(LIMIT_S):
-        while not all(_sees_all(cluster, e) for e in cluster.entries):
+        while not all(cluster.sees_all(e) for e in cluster.entries):
             eventlet.sleep(SAMPLE_S)
 
 
-def _sees_all(cluster, entry) -> bool:
-    links = [
-        link
-        for pool in entry.requests.pools.values()
-        for link in pool.links.values()
-    ]
-    return len(links) == len(cluster.agents) and all(
-        link.admitting for link in links
-    )
-
-
 def _make_report(cluster, options, traffic, sampler) -> _report.DemoReport:
     outcomes = traffic.outcomes
     not_run = sum(o.ran == "not run" for o in outcomes if not o.ok)
--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -15,10 +15,10 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import platform
+from zinniadyke import rendezvous
 from zinniadyke import requests
 from zinniadyke.settings import EntrySettings
 from zinniadyke import telemetry
-from zinniadyke.weights import _plan
 
 LOG = logging.getLogger(__name__)
 
@@ -195,6 +195,8 @@
         if not self.node.configuration.models_of(service):
             return False
         hosts = self.node.hosts(platform.HostRole.ENTRY)
-        ordered = sorted(hosts, key=lambda h: _plan.weight(service, h.name))
+        ordered = sorted(
+            hosts, key=lambda h: rendezvous.weight(service, h.name)
+        )
         names = [host.name for host in ordered[:CONTROL_CANDIDATES]]
         return self.node.me.name in names
--- a/zinniadyke/entry/_operators.py
+++ b/zinniadyke/entry/_operators.py
@@ -7,8 +7,6 @@
 import msgspec
 
 from zinniadyke import control
-from zinniadyke.control import _accept
-from zinniadyke.control import _progress
 from zinniadyke.entry import _auth
 from zinniadyke.entry import _http
 from zinniadyke.entry import _read_request
@@ -17,10 +15,24 @@
 from zinniadyke import ids
 from zinniadyke import language
 from zinniadyke import objects
+from zinniadyke import peers
 
 MAX_STATEMENTS_BYTES = 1 << 20
 WAIT_POLL_S = 0.2
 
+NO_STATUS = peers.Status(
+    host=ids.HostName(""),
+    zone=ids.ZoneName(""),
+    service=ids.ServiceName(""),
+    incarnation=ids.Incarnation(""),
+    gate=peers.GateState.CLOSED,
+    version="",
+    staged=[],
+    running=0,
+    slots=0,
+    revision=0,
+)
+
 
 class QueryResult(msgspec.Struct, kw_only=True):
     """Answer to a query: rows, or lines of text."""
@@ -91,7 +103,7 @@
 
     def _accepted(self) -> objects.Configuration:
         stored = control.read_head(self.node.client)
-        return _accept.load_configuration(self.node.client, stored.head)
+        return control.load_configuration(self.node.client, stored.head)
 
     def _changes(
         self, text, options, identity, present=None
@@ -173,7 +185,7 @@
     def _rollout_rows(self) -> list[dict]:
         rows = []
         for key, rollout in self.node.configuration.of_kind("rollout"):
-            found = _progress.read_progress(self.node.client, key.name)
+            found = control.read_progress(self.node.client, key.name)
             found = found or control.RolloutProgress(
                 rollout=key.name,
                 model=rollout.model,
@@ -197,7 +209,7 @@
     def _wait(self, query: language.Wait) -> QueryResult:
         deadline = time.monotonic() + query.within_s
         while time.monotonic() < deadline:
-            found = _progress.read_progress(self.node.client, query.rollout)
+            found = control.read_progress(self.node.client, query.rollout)
             if found is not None:
                 row = msgspec.to_builtins(found)
                 if language.matches(row, query.condition):
@@ -210,22 +222,21 @@
 
 
 def _target_row(service: str, host: str, link) -> dict:
-    model, _, version = (
-        link.status.version.partition("/") if (link.status) else ("", "", "")
-    )
+    status = link.status or NO_STATUS
+    model, _, version = status.version.partition("/")
     return {
         "name": host,
         "service": service,
         "zone": link.host.zone,
         "model": model,
         "serving": version,
-        "gate": link.status.gate.value if link.status else "",
+        "gate": status.gate.value,
         "alive": link.alive,
-        "running": link.status.running if link.status else 0,
+        "running": status.running,
         "in_flight": link.in_flight,
-        "progress": link.status.progress if link.status else 0.0,
-        "waiting": link.status.waiting if link.status else 0,
-        "revision": link.status.revision if link.status else 0,
+        "progress": status.progress,
+        "waiting": status.waiting,
+        "revision": status.revision,
     }
 
 
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -3,15 +3,15 @@
 import random
 import time
 
-from zinniadyke.control import _node
+from zinniadyke import control
 from zinniadyke.entry import _call
 from zinniadyke.entry import _target_link
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import peers
 from zinniadyke import platform
+from zinniadyke import rendezvous
 from zinniadyke import requests
-from zinniadyke.weights import _plan
 
 SUBSET_TARGETS = 20
 
@@ -25,7 +25,9 @@
         The service whose targets these are.
     """
 
-    def __init__(self, *, node: _node.Node, service: ids.ServiceName) -> None:
+    def __init__(
+        self, *, node: control.Node, service: ids.ServiceName
+    ) -> None:
         """Start with no targets."""
         self.node = node
         self.service = service
@@ -106,7 +108,7 @@
         if len(hosts) <= SUBSET_TARGETS:
             return hosts
         me = self.node.me.name
-        ordered = sorted(hosts, key=lambda h: _plan.weight(me, h.name))
+        ordered = sorted(hosts, key=lambda h: rendezvous.weight(me, h.name))
         return ordered[:SUBSET_TARGETS]
 
     def _link(self, host: platform.Host) -> _target_link.TargetLink:
--- a/zinniadyke/entry/_serve.py
+++ b/zinniadyke/entry/_serve.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from zinniadyke.control import _node
+from zinniadyke import control
 from zinniadyke.entry import _call
 from zinniadyke.entry import _dispatch
 from zinniadyke.entry import _pool
@@ -10,7 +10,6 @@
 from zinniadyke import errors
 from zinniadyke import objects
 from zinniadyke import requests
-from zinniadyke.requests import _claims
 
 CLAIM_SLACK_S = 10.0
 PLATFORM_RETRY_S = 2.0
@@ -45,7 +44,7 @@
 class RequestServer:
     """Takes requests through limits and claims to the dispatcher."""
 
-    def __init__(self, *, node: _node.Node) -> None:
+    def __init__(self, *, node: control.Node) -> None:
         """Start with no pools."""
         self.node = node
         self.pools: dict[str, _pool.TargetPool] = {}
@@ -90,7 +89,7 @@
     def _serve_claimed(self, call: _call.CallerRequest) -> Served:
         if not call.key or call.idempotent:
             return self._dispatch(call)
-        key = _claims.claim_key(call.workspace, call.service, call.key)
+        key = requests.claim_key(call.workspace, call.service, call.key)
         try:
             earlier = self.claims.take(
                 key,
--- a/zinniadyke/language/__init__.py
+++ b/zinniadyke/language/__init__.py
@@ -16,6 +16,8 @@
 from zinniadyke.language._statements import Wait
 from zinniadyke.language._table import format_table
 from zinniadyke.language._to_changes import to_changes
+from zinniadyke.language._values import duration_s
+from zinniadyke.language._values import interpret
 
 __all__ = [
     "Command",
@@ -28,7 +30,9 @@
     "Statement",
     "Verb",
     "Wait",
+    "duration_s",
     "format_table",
+    "interpret",
     "matches",
     "parse",
     "render_object",
--- a/zinniadyke/objects/__init__.py
+++ b/zinniadyke/objects/__init__.py
@@ -1,5 +1,6 @@
 """Kinds of declared objects. Each module registers its own kind."""
 
+from zinniadyke.objects._configuration import check_references
 from zinniadyke.objects._configuration import Configuration
 from zinniadyke.objects._key import ObjectKey
 from zinniadyke.objects._limit import Limit
@@ -35,5 +36,6 @@
     "Version",
     "WithoutPlatform",
     "Workspace",
+    "check_references",
     "convert",
 ]
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniadyke.requests._budget import RetryBudget
 from zinniadyke.requests._claims import Claim
+from zinniadyke.requests._claims import claim_key
 from zinniadyke.requests._claims import ClaimBook
 from zinniadyke.requests._claims import ClaimState
 from zinniadyke.requests._fair_queue import FairQueue
@@ -21,6 +22,7 @@
     "Limiter",
     "RetryBudget",
     "check_token",
+    "claim_key",
     "hash_token",
     "new_token",
     "token_workspace",
--- a/zinniadyke/ui/_apply_command.py
+++ b/zinniadyke/ui/_apply_command.py
@@ -9,8 +9,7 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import language
-from zinniadyke.ui import _files
-from zinniadyke.ui import _operator_client
+from zinniadyke import operators
 
 EXIT_DIFFERENCE = 2
 
@@ -72,9 +71,9 @@
         return 0
 
 
-def client_of(command: Command) -> _operator_client.OperatorClient:
+def client_of(command: Command) -> operators.OperatorClient:
     """Return the client that the command's options name."""
-    return _operator_client.from_environment(
+    return operators.from_environment(
         command.option("entry"), command.option("token-file")
     )
 
@@ -82,8 +81,8 @@
 def _read_all(paths: list[str]) -> str:
     """Read files, each checked by itself so that errors name it."""
     texts = []
-    for path in _files.declaration_files(paths):
-        text = _files.read_text(path)
+    for path in operators.declaration_files(paths):
+        text = operators.read_text(path)
         language.parse(text, file=str(path))
         texts.append(text)
     return "\n".join(texts)
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from zinniadyke import errors
-from zinniadyke.language import _values
+from zinniadyke import language
 
 
 class BenchRolloutCommand(Command):
@@ -46,7 +46,7 @@
                 favour=favour,
                 strategy=strategy,
                 chunks=whole_number(self, "chunks"),
-                wanted_s=_values.duration_s(self.option("wanted")),
+                wanted_s=language.duration_s(self.option("wanted")),
                 seed=whole_number(self, "seed"),
             )
         )
@@ -92,7 +92,7 @@
     UserError
         It is none.
     """
-    value = _values.interpret(command.option(name))
+    value = language.interpret(command.option(name))
     if type(value) is not int or value < 1:
         raise errors.UserError(f"--{name} takes a whole number above 0")
     return value
--- a/zinniadyke/ui/_check_command.py
+++ b/zinniadyke/ui/_check_command.py
@@ -7,8 +7,8 @@
 from zinniadyke import errors
 from zinniadyke import language
 from zinniadyke import objects
+from zinniadyke import operators
 from zinniadyke import settings
-from zinniadyke.ui import _files
 
 SETTINGS_SUFFIX = ".toml"
 
@@ -24,7 +24,7 @@
         """Run the command."""
         failed = 0
         changes: list[control.Change] = []
-        for path in _files.declaration_files(self.argument("files")):
+        for path in operators.declaration_files(self.argument("files")):
             try:
                 if path.suffix == SETTINGS_SUFFIX:
                     settings.load(str(path))
@@ -43,7 +43,7 @@
 
 
 def _changes(path) -> list[control.Change]:
-    text = _files.read_text(path)
+    text = operators.read_text(path)
     statements = language.parse(text, file=str(path))
     return language.to_changes(
         statements, objects.Configuration(), file=str(path)
--- a/zinniadyke/ui/_demo_command.py
+++ b/zinniadyke/ui/_demo_command.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from zinniadyke import errors
-from zinniadyke.language import _values
+from zinniadyke import language
 
 DEFAULT_EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 
@@ -41,9 +41,7 @@
         if self.option("json"):
             self.line(json.dumps(msgspec.to_builtins(report)))
         else:
-            from zinniadyke.demo import _report
-
-            self.line(_report.format_report(report))
+            self.line(demo.format_report(report))
         return 1 if report.broken else 0
 
     def _demo_options(self, demo):
@@ -51,9 +49,9 @@
         if deployment not in demo.DEPLOYMENTS:
             allowed = " or ".join(demo.DEPLOYMENTS)
             raise errors.UserError(f"--deployment takes {allowed}")
-        size = _values.interpret(self.option("size"))
-        seed = _values.interpret(self.option("seed"))
-        rate = _values.interpret(self.option("rate"))
+        size = language.interpret(self.option("size"))
+        seed = language.interpret(self.option("seed"))
+        rate = language.interpret(self.option("rate"))
         if type(size) is not int or size < 1:
             raise errors.UserError("--size takes a size such as 64MiB")
         if type(seed) is not int:
--- a/zinniadyke/ui/_manifest_command.py
+++ b/zinniadyke/ui/_manifest_command.py
@@ -8,7 +8,7 @@
 from cleo.helpers import option
 
 from zinniadyke import errors
-from zinniadyke.language import _values
+from zinniadyke import language
 from zinniadyke import weights
 
 
@@ -25,7 +25,7 @@
     def handle(self) -> int:
         """Run the command."""
         path = pathlib.Path(self.argument("file"))
-        chunk = _values.interpret(self.option("chunk"))
+        chunk = language.interpret(self.option("chunk"))
         if not isinstance(chunk, int) or chunk <= 0:
             raise errors.UserError("--chunk takes a size such as 4MiB")
         try:
--- a/zinniadyke/weights/__init__.py
+++ b/zinniadyke/weights/__init__.py
@@ -7,12 +7,14 @@
 from zinniadyke.weights._manifest import Manifest
 from zinniadyke.weights._manifest import MANIFEST_INDEX
 from zinniadyke.weights._manifest import MANIFEST_SUFFIX
+from zinniadyke.weights._plan import ARITY
 from zinniadyke.weights._plan import candidates
 from zinniadyke.weights._plan import Placement
 from zinniadyke.weights._plan import seeds
 from zinniadyke.weights._stage import Stage
 
 __all__ = [
+    "ARITY",
     "MANIFEST_INDEX",
     "MANIFEST_SUFFIX",
     "ChunkFetcher",
--- a/zinniadyke/weights/_plan.py
+++ b/zinniadyke/weights/_plan.py
@@ -8,12 +8,11 @@
 gives every host each position equally often, so uploads are balanced.
 """
 
-import hashlib
-
 import msgspec
 
 from zinniadyke import ids
 from zinniadyke import platform
+from zinniadyke import rendezvous
 
 ARITY = 2
 
@@ -29,19 +28,24 @@
         by_zone: dict[str, list[platform.Host]] = {}
         for host in hosts:
             by_zone.setdefault(host.zone, []).append(host)
-        ordered = sorted(by_zone, key=lambda name: weight(version, name))
+        ordered = sorted(
+            by_zone, key=lambda name: rendezvous.weight(version, name)
+        )
         return cls(
             zones=[
-                sorted(by_zone[z], key=lambda h: weight(version, h.name))
+                sorted(
+                    by_zone[z],
+                    key=lambda h: rendezvous.weight(version, h.name),
+                )
                 for z in ordered
             ]
         )
 
     def order(self, index: int) -> list[list[platform.Host]]:
         """Return zones and hosts as rotated for one chunk."""
-        zones = rotate(self.zones, index)
+        zones = rendezvous.rotate(self.zones, index)
         turn = index // max(len(self.zones), 1)
-        return [rotate(zone, turn) for zone in zones]
+        return [rendezvous.rotate(zone, turn) for zone in zones]
 
 
 def candidates(
@@ -94,16 +98,3 @@
         position = (position - 1) // ARITY
         found.append(position)
     return found
-
-
-def rotate(items: list, by: int) -> list:
-    """Return ``items`` rotated to the left."""
-    if not items:
-        return []
-    by %= len(items)
-    return items[by:] + items[:by]
-
-
-def weight(*parts: str) -> bytes:
-    """Return the rendezvous weight of a combination of names."""
-    return hashlib.blake2b("/".join(parts).encode(), digest_size=8).digest()
