--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -1,5 +1,7 @@
 """Measured experiments with regression bounds."""
 
+from zinniadyke.bench._bound import Bound
+from zinniadyke.bench._bound import unmet
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
 from zinniadyke.bench._requests import run_requests
@@ -10,10 +12,12 @@
 
 __all__ = [
     "STRATEGIES",
+    "Bound",
     "RequestsOptions",
     "RequestsResult",
     "RolloutOptions",
     "RolloutResult",
     "run_requests",
     "run_rollout",
+    "unmet",
 ]
--- /dev/null
+++ b/zinniadyke/bench/_bound.py
@@ -0,0 +1,25 @@
+"""Regression bounds of the benches."""
+
+import msgspec
+
+
+class Bound(msgspec.Struct, frozen=True, kw_only=True):
+    """A stated limit and the figure that was measured."""
+
+    name: str
+    limit: float
+    value: float
+
+    @property
+    def met(self) -> bool:
+        """Whether the figure is within the limit."""
+        return self.value <= self.limit
+
+
+def unmet(bounds: list[Bound]) -> list[str]:
+    """Return a line for each bound that is not met."""
+    return [
+        f"{bound.name}: {bound.value:.3f} is over {bound.limit:g}"
+        for bound in bounds
+        if not bound.met
+    ]
--- a/zinniadyke/bench/_requests.py
+++ b/zinniadyke/bench/_requests.py
@@ -9,11 +9,14 @@
 import msgspec
 import urllib3
 
+from zinniadyke.bench import _bound
 from zinniadyke import demo
 from zinniadyke import objects
 from zinniadyke import requests
 
 KIB = 1024
+MAX_ADDED_P50_MS = 5.0
+MAX_ADDED_P99_MS = 20.0
 POLL_S = 0.02
 CALL_TIMEOUT_S = 30.0
 PROMPT = {"model": "drafting", "prompt": "a claim"}
@@ -52,6 +55,22 @@
     added_p99_ms: float
     failed: int
 
+    def bounds(self) -> list[_bound.Bound]:
+        """Return the stated limits with what was measured."""
+        return [
+            _bound.Bound(
+                name="added at p50, ms",
+                limit=MAX_ADDED_P50_MS,
+                value=self.added_p50_ms,
+            ),
+            _bound.Bound(
+                name="added at p99, ms",
+                limit=MAX_ADDED_P99_MS,
+                value=self.added_p99_ms,
+            ),
+            _bound.Bound(name="failed", limit=0, value=self.failed),
+        ]
+
 
 class OpenLoop:
     """Sends requests at exponential intervals, whatever comes back."""
--- a/zinniadyke/bench/_rollout.py
+++ b/zinniadyke/bench/_rollout.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from zinniadyke.bench import _bound
 from zinniadyke.bench import _strategies
 from zinniadyke import demo
 from zinniadyke import errors
@@ -14,6 +15,9 @@
 from zinniadyke import requests
 
 MIB = 1 << 20
+MAX_COPIES_ORIGIN = 1.05
+MAX_COPIES = 4.0
+MAX_RATIO = 1.25
 WANTED_S = 16.0
 ORIGIN_COPIES_IN_TIME = 4
 HOST_COPIES_IN_TIME = 2
@@ -82,6 +86,22 @@
     control_bytes_per_host_chunk: float
     cpu_s_per_gib: float
 
+    def bounds(self) -> list[_bound.Bound]:
+        """Return the stated limits with what was measured."""
+        is_origin = self.favour == objects.Favour.ORIGIN.value
+        return [
+            _bound.Bound(
+                name="copies read from the origin",
+                limit=MAX_COPIES_ORIGIN if is_origin else MAX_COPIES,
+                value=self.origin_copies,
+            ),
+            _bound.Bound(
+                name="time to all over the fluid bound",
+                limit=MAX_RATIO,
+                value=self.ratio,
+            ),
+        ]
+
 
 def run_rollout(options: RolloutOptions) -> RolloutResult:
     """Run one rollout to hosts that serve nothing yet.
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -50,8 +50,7 @@
                 seed=whole_number(self, "seed"),
             )
         )
-        self.line(json.dumps(msgspec.to_builtins(result)))
-        return 0
+        return report(self, result)
 
 
 class BenchRequestsCommand(Command):
@@ -80,8 +79,18 @@
                 seed=whole_number(self, "seed"),
             )
         )
-        self.line(json.dumps(msgspec.to_builtins(result)))
-        return 0
+        return report(self, result)
+
+
+def report(command: Command, result) -> int:
+    """Print figures and unmet bounds; return the exit code."""
+    from zinniadyke import bench
+
+    command.line(json.dumps(msgspec.to_builtins(result)))
+    lines = bench.unmet(result.bounds())
+    for line in lines:
+        command.line_error(f"bound not met: {line}")
+    return 1 if lines else 0
 
 
 def whole_number(command: Command, name: str) -> int:
