Send small parts of a stream at once (TCP_NODELAY)

Cause: a stream's small writes waited for the peer's delayed acknowledgement, 40 ms, at the entry and at the engine's stand-in. Ruled out: the entry's processor time (2.4 ms a request); the WSGI server's gathering, which had been switched off before. Change: listening sockets set TCP_NODELAY; benchmarks/request_latency.py measures with every part a process of its own.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -10,15 +10,13 @@
 import argparse
 import datetime
 import json
-import os
 import pathlib
-import socket
 import statistics
-import subprocess
-import sys
 import tempfile
 import time
 
+import msgspec
+import processes
 import urllib3
 
 from zinniadyke import control
@@ -31,7 +29,6 @@
 ZONES = ["cairo", "alexandria", "asyut"]
 READY_LIMIT_S = 120.0
 IN_FORCE_LIMIT_S = 20.0
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 AGENT = """
 [platform]
 url = "http://{platform}"
@@ -45,15 +42,6 @@
 """
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    found = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
-    for opened in sockets:
-        opened.close()
-    return found
-
-
 class Fleet:
     """The stand-ins and the agents, each a process.
 
@@ -66,8 +54,10 @@
     def __init__(self, *, count: int, directory: pathlib.Path) -> None:
         """Start every process."""
         self.directory = directory
-        self.processes: list[subprocess.Popen] = []
-        platform_at, service_at, *peer_addresses = free_addresses(count + 2)
+        self.starter = processes.Starter(directory=directory)
+        platform_at, service_at, *peer_addresses = processes.free_addresses(
+            count + 2
+        )
         self.url = f"http://{platform_at}"
         self.client = platform.PlatformClient(url=self.url)
         self.http = urllib3.PoolManager()
@@ -92,7 +82,7 @@
 
     def _start_fake(self, kind: str, address: str) -> None:
         text = f'[fake.{kind}]\naddress = "{address}"\n'
-        self._start(["fake", kind], kind, text)
+        self.starter.start(["fake", kind], kind, text)
 
     def _start_agent(self, host, platform_at, service_at):
         text = AGENT.format(
@@ -102,23 +92,9 @@
             peer=host.peer,
             service=service_at,
         )
-        return self._start(["agent"], host.name, text)
-
-    def _start(self, command, name, text) -> subprocess.Popen:
-        path = self.directory / f"{name}.toml"
-        path.write_text(text)
-        arguments = [sys.executable, "-m", "zinniadyke", *command]
-        process = subprocess.Popen(
-            [*arguments, "--config", str(path)],
-            stdout=subprocess.DEVNULL,
-            stderr=(self.directory / f"{name}.log").open("w"),
-        )
-        self.processes.append(process)
-        return process
+        return self.starter.start(["agent"], host.name, text)
 
     def _publish(self) -> None:
-        import msgspec
-
         body = msgspec.json.encode(self.hosts)
         deadline = time.monotonic() + READY_LIMIT_S
         while time.monotonic() < deadline:
@@ -175,36 +151,11 @@
 
     def cpu_s(self) -> float:
         """Return the agents' processor time so far, in seconds."""
-        return sum(process_cpu_s(p.pid) for p in self.agents)
+        return sum(processes.cpu_s(p.pid) for p in self.agents)
 
     def memory_mib(self) -> list[float]:
         """Return each agent's resident memory, in MiB."""
-        return [process_memory_mib(p.pid) for p in self.agents]
-
-    def stop(self) -> None:
-        """End every process that was started here."""
-        for process in self.processes:
-            process.kill()
-        for process in self.processes:
-            process.wait()
-
-
-def process_cpu_s(pid: int) -> float:
-    """Return a process's processor time, in seconds."""
-    try:
-        fields = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    except OSError:
-        return 0.0
-    user, system = fields.rpartition(")")[2].split()[11:13]
-    return (int(user) + int(system)) / CLOCK_TICKS
-
-
-def process_memory_mib(pid: int) -> float:
-    """Return a process's resident memory, in MiB."""
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS"):
-            return int(line.split()[1]) / 1024
-    return 0.0
+        return [processes.memory_mib(p.pid) for p in self.agents]
 
 
 def phase(fleet: Fleet, seconds: float, change=None) -> dict[str, float]:
@@ -238,7 +189,7 @@
         try:
             print(json.dumps(run(fleet, options)))
         finally:
-            fleet.stop()
+            fleet.starter.stop()
 
 
 def run(fleet: Fleet, options: argparse.Namespace) -> dict:
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,73 @@
+"""Starts processes of the system for a benchmark, and measures them."""
+
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+    for opened in sockets:
+        opened.close()
+    return found
+
+
+class Starter:
+    """Starts processes with settings files in one directory.
+
+    Parameters
+    ----------
+    directory
+        Where settings and logs are written.
+    """
+
+    def __init__(self, *, directory: pathlib.Path) -> None:
+        """Start with no process."""
+        self.directory = directory
+        self.processes: list[subprocess.Popen] = []
+
+    def start(
+        self, command: list[str], name: str, settings: str
+    ) -> subprocess.Popen:
+        """Start ``zinniadyke COMMAND --config NAME.toml``."""
+        path = self.directory / f"{name}.toml"
+        path.write_text(settings)
+        arguments = [sys.executable, "-m", "zinniadyke", *command]
+        process = subprocess.Popen(
+            [*arguments, "--config", str(path)],
+            stdout=subprocess.DEVNULL,
+            stderr=(self.directory / f"{name}.log").open("w"),
+        )
+        self.processes.append(process)
+        return process
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+
+
+def cpu_s(pid: int) -> float:
+    """Return a process's processor time, in seconds."""
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return 0.0
+    user, system = fields.rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) / CLOCK_TICKS
+
+
+def memory_mib(pid: int) -> float:
+    """Return a process's resident memory, in MiB."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
--- /dev/null
+++ b/benchmarks/request_latency.py
@@ -0,0 +1,235 @@
+"""Measures what an entry adds, with every part a process of its own.
+
+Prints one JSON line: latencies through the entry and direct to the engines
+side by side, the entry's and the agents' processor time a request, and the
+entry's memory.
+
+    python benchmarks/request_latency.py --rate 195
+"""
+
+import argparse
+import hashlib
+import json
+import pathlib
+import random
+import tempfile
+import time
+
+from zinniadyke import _runtime
+
+_runtime.patch()
+
+import eventlet
+import processes
+import urllib3
+
+from zinniadyke import bench
+from zinniadyke import operators
+from zinniadyke import requests
+from zinniadyke import weights
+
+MIB = 1 << 20
+SEED = 7
+SLOTS = 64
+START_LIMIT_S = 60.0
+CALL_TIMEOUT_S = 30.0
+PROMPT = {"model": "drafting", "prompt": "a claim"}
+CHAT = {
+    "model": "drafting",
+    "stream": True,
+    "messages": [{"role": "user", "content": "a claim"}],
+}
+ENTRY = """
+[platform]
+url = "http://{platform}"
+[log]
+level = "warning"
+[entry]
+name = "entry-1"
+zone = "cairo"
+region = "egypt"
+http = "{http}"
+peer = "{peer}"
+admin_tokens = ["{admin}"]
+"""
+AGENT = """
+[platform]
+url = "http://{platform}"
+[agent]
+name = "{name}"
+zone = "cairo"
+region = "egypt"
+service = "drafting"
+peer = "{peer}"
+engine = "http://{engine}"
+"""
+HOST = """
+[[fake.platform.hosts]]
+name = "{name}"
+role = "{role}"
+zone = "cairo"
+region = "egypt"
+peer = "{peer}"
+service = "{service}"
+"""
+ORIGIN = """
+[fake.origin]
+address = "{address}"
+[[fake.origin.blobs]]
+name = "drafting-1"
+size_mib = 1
+seed = 7
+"""
+FLEET = """
+service drafting {{ kind = model slots = {slots} checks_fencing = true }}
+model drafting {{ service = drafting }}
+workspace intake {{ tokens = ["{token}"] }}
+route drafting of intake {{ model = drafting }}
+version 1 of drafting {{ source = "http://{origin}/drafting-1"
+  digest = "{digest}" }}
+rollout r1 {{ model = drafting version = 1 floor = 0 }}
+"""
+
+
+class System:
+    """One entry, and agents with engines, each a process."""
+
+    def __init__(self, *, targets: int, directory: pathlib.Path) -> None:
+        """Start every process and roll a version out."""
+        self.starter = processes.Starter(directory=directory)
+        found = processes.free_addresses(4 + 2 * targets)
+        platform, origin, http, peer, *rest = found
+        self.engines, agents = rest[:targets], rest[targets:]
+        self.url = f"http://{http}"
+        self.token = requests.new_token("intake")
+        self.admin = requests.new_token("fleet")
+        names = [f"drafting-{n}" for n in range(targets)]
+        hosts = HOST.format(
+            name="entry-1", role="entry", peer=peer, service=""
+        ) + "".join(
+            HOST.format(name=n, role="target", peer=p, service="drafting")
+            for n, p in zip(names, agents, strict=True)
+        )
+        start = self.starter.start
+        text = f'[fake.platform]\naddress = "{platform}"\n{hosts}'
+        start(["fake", "platform"], "platform", text)
+        start(["fake", "origin"], "origin", ORIGIN.format(address=origin))
+        self.agents = []
+        for name, engine, agent in zip(
+            names, self.engines, agents, strict=True
+        ):
+            text = f'[fake.engine]\naddress = "{engine}"\n'
+            start(["fake", "engine"], f"engine-{name}", text)
+            text = AGENT.format(
+                platform=platform, name=name, peer=agent, engine=engine
+            )
+            self.agents.append(start(["agent"], name, text))
+        text = ENTRY.format(
+            platform=platform,
+            http=http,
+            peer=peer,
+            admin=requests.hash_token(self.admin),
+        )
+        self.entry = start(["entry"], "entry-1", text)
+        self._roll_out(origin, targets)
+
+    def _roll_out(self, origin: str, targets: int) -> None:
+        pool = urllib3.PoolManager(retries=False)
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                pool.request("GET", self.url + "/healthz")
+                break
+            except urllib3.exceptions.HTTPError:
+                eventlet.sleep(0.1)
+        blob = random.Random(SEED).randbytes(MIB)
+        encoded = weights.build_manifest(blob, MIB).encode()
+        text = FLEET.format(
+            slots=SLOTS,
+            token=requests.hash_token(self.token),
+            origin=origin,
+            digest=hashlib.sha256(encoded).hexdigest(),
+        )
+        client = operators.OperatorClient(url=self.url, token=self.admin)
+        client.send("apply", text)
+        wait = f"wait rollout r1 until serving >= {targets} within 60s"
+        client.send("query", wait, timeout_s=70)
+        eventlet.sleep(1)
+
+
+def measure(system: System, options: argparse.Namespace) -> dict:
+    """Send requests through the entry and direct, side by side."""
+    pool = urllib3.PoolManager(maxsize=256, retries=False)
+    chosen = random.Random(options.seed)
+    path = "/v1/chat/completions" if options.stream else "/v1/completions"
+    body = json.dumps(CHAT if options.stream else PROMPT)
+
+    def post(url: str) -> int:
+        return pool.request(
+            "POST",
+            url + path,
+            body=body,
+            headers={"Authorization": f"Bearer {system.token}"},
+            timeout=CALL_TIMEOUT_S,
+        ).status
+
+    loops = [
+        bench.OpenLoop(
+            rate=options.rate,
+            seed=options.seed,
+            send=lambda: post(system.url),
+        ),
+        bench.OpenLoop(
+            rate=options.rate,
+            seed=options.seed + 1,
+            send=lambda: post(f"http://{chosen.choice(system.engines)}"),
+        ),
+    ]
+    entry, agents = cpu_s(system)
+    tasks = [eventlet.spawn(loop.run, options.seconds) for loop in loops]
+    for task in tasks:
+        task.wait()
+    entry_after, agents_after = cpu_s(system)
+    through, direct = (loop.histograms.rows()[0] for loop in loops)
+    count = through["count"]
+    return {
+        "rate": options.rate,
+        "stream": options.stream,
+        "through": through,
+        "direct": direct,
+        "added_p50_ms": through["p50_ms"] - direct["p50_ms"],
+        "added_p99_ms": through["p99_ms"] - direct["p99_ms"],
+        "failed": sum(loop.failed for loop in loops),
+        "entry_cpu_ms_per_request": (entry_after - entry) / count * 1000,
+        "agents_cpu_ms_per_request": (agents_after - agents) / count * 1000,
+        "entry_memory_mib": processes.memory_mib(system.entry.pid),
+        "agent_memory_mib": processes.memory_mib(system.agents[0].pid),
+    }
+
+
+def cpu_s(system: System) -> tuple[float, float]:
+    """Return the processor time of the entry and of all agents."""
+    agents = sum(processes.cpu_s(agent.pid) for agent in system.agents)
+    return processes.cpu_s(system.entry.pid), agents
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rate", type=float, default=195)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--targets", type=int, default=6)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--stream", action="store_true")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        system = System(targets=options.targets, directory=directory)
+        try:
+            print(json.dumps(measure(system, options)))
+        finally:
+            system.starter.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniadyke.bench._bound import Bound
 from zinniadyke.bench._bound import unmet
+from zinniadyke.bench._requests import OpenLoop
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
 from zinniadyke.bench._requests import run_requests
@@ -13,6 +14,7 @@
 __all__ = [
     "STRATEGIES",
     "Bound",
+    "OpenLoop",
     "RequestsOptions",
     "RequestsResult",
     "RolloutOptions",
--- a/zinniadyke/entry/_entry.py
+++ b/zinniadyke/entry/_entry.py
@@ -14,6 +14,7 @@
 from zinniadyke.entry import _serve
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import listening
 from zinniadyke import platform
 from zinniadyke import rendezvous
 from zinniadyke import requests
@@ -67,10 +68,8 @@
         self.withdrawn = False
         self.controllers: dict[str, eventlet.greenthread.GreenThread] = {}
         self.rollout_controllers: dict[str, control.RolloutController] = {}
-        host, _, port = settings.http.rpartition(":")
-        self.socket = eventlet.listen((host, int(port)), reuse_port=False)
-        name = self.socket.getsockname()
-        self.url = f"http://{name[0]}:{name[1]}"
+        self.socket = listening.listen(settings.http)
+        self.url = f"http://{listening.address_of(self.socket)}"
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.server: eventlet.greenthread.GreenThread | None = None
 
--- a/zinniadyke/fakes/_http.py
+++ b/zinniadyke/fakes/_http.py
@@ -9,6 +9,8 @@
 from eventlet import wsgi
 import msgspec
 
+from zinniadyke import listening
+
 QUIET = logging.getLogger("zinniadyke.fakes")
 QUIET.addHandler(logging.NullHandler())
 QUIET.propagate = False
@@ -30,10 +32,8 @@
 
     def __init__(self, *, application: Callable, address: str) -> None:
         """Bind the socket and start to accept."""
-        host, _, port = address.rpartition(":")
-        self.socket = eventlet.listen((host, int(port)), reuse_port=False)
-        name = self.socket.getsockname()
-        self.address = f"{name[0]}:{name[1]}"
+        self.socket = listening.listen(address)
+        self.address = listening.address_of(self.socket)
         self.url = f"http://{self.address}"
         self.thread = eventlet.spawn(
             wsgi.server,
