Bench rollouts with every agent a process

Change: benchmarks/rollout_processes.py; the burst of bulk bytes is a setting; agents log what they staged from where.

--- a/benchmarks/request_latency.py
+++ b/benchmarks/request_latency.py
@@ -185,6 +185,7 @@
             send=lambda: post(f"http://{chosen.choice(system.engines)}"),
         ),
     ]
+    callers = time.process_time()
     entry, agents = cpu_s(system)
     tasks = [eventlet.spawn(loop.run, options.seconds) for loop in loops]
     for task in tasks:
@@ -199,6 +200,7 @@
         "direct": direct,
         "added_p50_ms": through["p50_ms"] - direct["p50_ms"],
         "added_p99_ms": through["p99_ms"] - direct["p99_ms"],
+        "callers_cpu_share": (time.process_time() - callers) / options.seconds,
         "failed": sum(loop.failed for loop in loops),
         "entry_cpu_ms_per_request": (entry_after - entry) / count * 1000,
         "agents_cpu_ms_per_request": (agents_after - agents) / count * 1000,
--- /dev/null
+++ b/benchmarks/rollout_processes.py
@@ -0,0 +1,265 @@
+"""Measures a rollout with every agent and engine a process of its own.
+
+Prints one JSON line: time until 1 .. N hosts hold and serve the version,
+against the fluid lower bound, and the bytes by source.
+
+    python benchmarks/rollout_processes.py --hosts 96
+"""
+
+import argparse
+import datetime
+import hashlib
+import json
+import pathlib
+import random
+import tempfile
+import time
+
+from zinniadyke import _runtime
+
+_runtime.patch()
+
+import eventlet
+import processes
+import urllib3
+
+from zinniadyke import bench
+from zinniadyke import operators
+from zinniadyke import requests
+from zinniadyke import weights
+
+MIB = 1 << 20
+KIB = 1 << 10
+SEED = 7
+START_LIMIT_S = 120.0
+LIMIT_S = 240.0
+ORIGIN_COPIES_IN_TIME = 4
+HOST_COPIES_IN_TIME = 2
+ZONES = ["cairo", "alexandria", "asyut"]
+ENTRY = """
+[platform]
+url = "http://{platform}"
+[entry]
+name = "entry-1"
+zone = "cairo"
+region = "egypt"
+http = "{http}"
+peer = "{peer}"
+admin_tokens = ["{admin}"]
+"""
+AGENT = """
+[platform]
+url = "http://{platform}"
+[agent]
+name = "{name}"
+zone = "{zone}"
+region = "egypt"
+service = "drafting"
+peer = "{peer}"
+engine = "http://{engine}"
+upload_mib_s = {rate}
+download_mib_s = {rate}
+burst_kib = {chunk}
+"""
+HOST = """
+[[fake.platform.hosts]]
+name = "{name}"
+role = "{role}"
+zone = "{zone}"
+region = "egypt"
+peer = "{peer}"
+service = "{service}"
+"""
+ORIGIN = """
+[fake.origin]
+address = "{address}"
+mib_s = {rate}
+[[fake.origin.blobs]]
+name = "drafting-1"
+size_mib = {size}
+seed = 7
+chunk_kib = {chunk}
+"""
+FLEET = """
+service drafting {{ kind = model checks_fencing = true }}
+model drafting {{ service = drafting }}
+version 1 of drafting {{ source = "http://{origin}/drafting-1"
+  digest = "{digest}" }}
+"""
+ROLLOUT = """
+rollout r1 {{ model = drafting version = 1 floor = 0 favour = {favour} }}
+"""
+
+
+class System:
+    """One entry, and agents with engines, each a process."""
+
+    def __init__(
+        self, *, options: argparse.Namespace, directory: pathlib.Path
+    ) -> None:
+        """Start every process."""
+        self.options = options
+        self.directory = directory
+        self.starter = processes.Starter(directory=directory)
+        count = options.hosts
+        platform, origin, http, peer, *rest = processes.free_addresses(
+            4 + 2 * count
+        )
+        self.origin = origin
+        self.url = f"http://{http}"
+        self.admin = requests.new_token("fleet")
+        self.names = [f"host-{n}" for n in range(count)]
+        rate = options.size / options.wanted
+        self._start_outside(platform, origin, peer, rest[count:], rate)
+        for name, engine, agent in zip(
+            self.names, rest[:count], rest[count:], strict=True
+        ):
+            text = f'[fake.engine]\naddress = "{engine}"\n'
+            self.starter.start(["fake", "engine"], f"engine-{name}", text)
+            text = AGENT.format(
+                platform=platform,
+                name=name,
+                zone=self.zone(name),
+                peer=agent,
+                engine=engine,
+                rate=HOST_COPIES_IN_TIME * rate,
+                chunk=options.chunk,
+            )
+            self.starter.start(["agent"], name, text)
+        text = ENTRY.format(
+            platform=platform,
+            http=http,
+            peer=peer,
+            admin=requests.hash_token(self.admin),
+        )
+        self.starter.start(["entry"], "entry-1", text)
+
+    def zone(self, name: str) -> str:
+        """Return a host's availability zone."""
+        return ZONES[self.names.index(name) % len(ZONES)]
+
+    def _start_outside(self, platform, origin, peer, agents, rate) -> None:
+        hosts = HOST.format(
+            name="entry-1", role="entry", zone=ZONES[0], peer=peer, service=""
+        )
+        for name, agent in zip(self.names, agents, strict=True):
+            hosts += HOST.format(
+                name=name,
+                role="target",
+                zone=self.zone(name),
+                peer=agent,
+                service="drafting",
+            )
+        text = f'[fake.platform]\naddress = "{platform}"\n{hosts}'
+        self.starter.start(["fake", "platform"], "platform", text)
+        text = ORIGIN.format(
+            address=origin,
+            rate=ORIGIN_COPIES_IN_TIME * rate,
+            size=self.options.size,
+            chunk=self.options.chunk,
+        )
+        self.starter.start(["fake", "origin"], "origin", text)
+
+    def prepare(self) -> operators.OperatorClient:
+        """Declare the version and wait until every agent knows it."""
+        pool = urllib3.PoolManager(retries=False)
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                pool.request("GET", self.url + "/healthz")
+                break
+            except urllib3.exceptions.HTTPError:
+                eventlet.sleep(0.2)
+        blob = random.Random(SEED).randbytes(self.options.size * MIB)
+        manifest = weights.build_manifest(blob, self.options.chunk * KIB)
+        digest = hashlib.sha256(manifest.encode()).hexdigest()
+        client = operators.OperatorClient(url=self.url, token=self.admin)
+        client.send("apply", FLEET.format(origin=self.origin, digest=digest))
+        self.wait_records("in force", deadline - time.monotonic())
+        eventlet.sleep(3)
+        return client
+
+    def records(self, message: str) -> list[dict]:
+        """Return the first record with a message of each agent's log."""
+        found = []
+        for name in self.names:
+            log = (self.directory / f"{name}.log").read_text()
+            for line in log.splitlines():
+                record = json.loads(line)
+                if record["message"] == message:
+                    found.append(record)
+                    break
+        return found
+
+    def wait_records(self, message: str, limit_s: float) -> list[dict]:
+        """Wait until every agent has logged a message."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            found = self.records(message)
+            if len(found) == len(self.names):
+                return found
+            eventlet.sleep(0.5)
+        raise SystemExit(f"not every agent came to '{message}'")
+
+
+def times_s(records: list[dict], begun: float) -> list[float]:
+    """Return sorted times since ``begun`` (wall clock), in seconds."""
+    return sorted(
+        datetime.datetime.strptime(
+            record["time"], "%Y-%m-%d %H:%M:%S,%f"
+        ).timestamp()
+        - begun
+        for record in records
+    )
+
+
+def measure(system: System, options: argparse.Namespace) -> dict:
+    """Roll out and return the figures."""
+    client = system.prepare()
+    begun = time.time()
+    client.send("apply", ROLLOUT.format(favour=options.favour))
+    serving = times_s(system.wait_records("serving", LIMIT_S), begun)
+    records = system.records("staged")
+    staged = times_s(records, begun)
+    size = options.size * MIB
+    bound = bench.fluid_bound_s(size, options.hosts, options.wanted)
+    return {
+        "hosts": options.hosts,
+        "size_mib": options.size,
+        "chunk_kib": options.chunk,
+        "favour": options.favour,
+        "bound_s": bound,
+        "staged_first_half_all_s": _three(staged),
+        "serving_first_half_all_s": _three(serving),
+        "ratio": staged[-1] / bound,
+        "origin_copies": sum(r["origin_bytes"] for r in records) / size,
+        "cross_zone_copies": sum(r["other_zone_bytes"] for r in records)
+        / size,
+        "timeouts": sum(r["timeouts"] for r in records),
+    }
+
+
+def _three(times: list[float]) -> list[float]:
+    half = times[(len(times) - 1) // 2]
+    return [round(t, 2) for t in (times[0], half, times[-1])]
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--hosts", type=int, default=24)
+    parser.add_argument("--size", type=int, default=8, help="in MiB")
+    parser.add_argument("--chunk", type=int, default=64, help="in KiB")
+    parser.add_argument("--wanted", type=float, default=24.0)
+    parser.add_argument("--favour", default="origin")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as name:
+        system = System(options=options, directory=pathlib.Path(name))
+        try:
+            print(json.dumps(measure(system, options)))
+        finally:
+            system.starter.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -24,6 +24,7 @@
 
 FOLLOW_S = 0.2
 LINGER_MS = 500
+KIB = 1 << 10
 MIB = 1 << 20
 
 
@@ -73,10 +74,12 @@
             gate=self.gate,
             budget_bytes=settings.staging_mib * MIB,
             upload=weights.TokenBucket(
-                bytes_per_s=settings.upload_mib_s * MIB, burst_bytes=MIB
+                bytes_per_s=settings.upload_mib_s * MIB,
+                burst_bytes=settings.burst_kib * KIB,
             ),
             download=weights.TokenBucket(
-                bytes_per_s=settings.download_mib_s * MIB, burst_bytes=MIB
+                bytes_per_s=settings.download_mib_s * MIB,
+                burst_bytes=settings.burst_kib * KIB,
             ),
         )
         self.orders = _orders.Orders(
--- a/zinniadyke/agent/_orders.py
+++ b/zinniadyke/agent/_orders.py
@@ -95,6 +95,7 @@
         self._read_back(order.version, stage.manifest)
         self.gate.open(order.version)
         telemetry.count(telemetry.Metric.ACTIVATIONS)
+        LOG.info("serving", extra={"version": order.version})
         self.stager.activated(order.version)
 
     def _check(self, order: peers.Activate) -> None:
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -209,6 +209,7 @@
                 fetcher.run()
                 self.waiting = 0
                 _count_sources(fetcher.counts)
+                LOG.info("staged", extra=_source_fields(name, fetcher.counts))
                 return
             except errors.ZinniadykeError as error:
                 self.waiting = error.code.number
@@ -272,6 +273,19 @@
         self.stages.pop(name).close()
 
 
+def _source_fields(
+    name: str, counts: weights.SourceCounts
+) -> dict[str, object]:
+    return {
+        "version": name,
+        "origin_bytes": counts.origin,
+        "same_zone_bytes": counts.same_zone,
+        "other_zone_bytes": counts.other_zone,
+        "corrupt": counts.corrupt,
+        "timeouts": counts.timeouts,
+    }
+
+
 def _count_sources(counts: weights.SourceCounts) -> None:
     peer_bytes = counts.same_zone + counts.other_zone
     metric = telemetry.Metric
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -6,6 +6,7 @@
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
 from zinniadyke.bench._requests import run_requests
+from zinniadyke.bench._rollout import fluid_bound_s
 from zinniadyke.bench._rollout import RolloutOptions
 from zinniadyke.bench._rollout import RolloutResult
 from zinniadyke.bench._rollout import run_rollout
@@ -19,6 +20,7 @@
     "RequestsResult",
     "RolloutOptions",
     "RolloutResult",
+    "fluid_bound_s",
     "run_requests",
     "run_rollout",
     "unmet",
--- a/zinniadyke/settings/_schema.py
+++ b/zinniadyke/settings/_schema.py
@@ -57,13 +57,20 @@
     name: str
     size_mib: int
     seed: int
-    chunk_mib: int = 1
+    chunk_kib: int = 1024
 
 
 class FakeOriginSettings(Section):
-    """The stand-in of the origin."""
+    """The stand-in of the origin.
+
+    Attributes
+    ----------
+    mib_s
+        Rate of its link, in MiB/s; 0 for no limit.
+    """
 
     address: str
+    mib_s: float = 0.0
     blobs: list[FakeBlob] = []
 
 
--- a/zinniadyke/ui/_daemons.py
+++ b/zinniadyke/ui/_daemons.py
@@ -14,6 +14,7 @@
 
 NAMES = ("entry", "agent", "fake")
 FAKES = ("platform", "origin", "engine", "service")
+KIB = 1 << 10
 MIB = 1 << 20
 
 
@@ -91,10 +92,12 @@
         fake = fakes.FakePlatform(address=section.address)
         fake.set_hosts(section.hosts)
     elif kind == "origin":
-        fake = fakes.FakeOrigin(address=section.address)
+        fake = fakes.FakeOrigin(
+            address=section.address, bytes_per_s=section.mib_s * MIB
+        )
         for blob in section.blobs:
             data = random.Random(blob.seed).randbytes(blob.size_mib * MIB)
-            manifest = weights.build_manifest(data, blob.chunk_mib * MIB)
+            manifest = weights.build_manifest(data, blob.chunk_kib * KIB)
             fake.put(blob.name, data)
             fake.put(blob.name + weights.MANIFEST_SUFFIX, manifest.encode())
     elif kind == "engine":
