Promise a chunk before it waits for the link

Cause: a host that had a chunk and a queue of uploads over a second answered nothing until the chunk left, so askers timed out and went on, at last to the origin. Ruled out: slow connections (the time-outs came in the middle too). Change: such a host answers 'pending' first, as one without the chunk does.

--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -21,6 +21,7 @@
 
 POLL_S = 1.0
 RETRY_S = 2.0
+PROMISE_AFTER_S = 0.2
 RETAIN_IDLE_S = 20.0
 ORIGIN_COPIES_FOR_TIME = 1.5
 APPEAR_TIMEOUT_S = 20.0
@@ -110,23 +111,32 @@
         message = inbound.message
         name, index = message.version, message.index
         data = self._held(name, index)
+        promised = False
         if data is None and message.wait and self._may_stage(name):
-            inbound.reply(
-                peers.ChunkPending(
-                    version=name,
-                    index=index,
-                    incarnation=self.node.incarnation,
-                )
-            )
+            self._promise(inbound)
+            promised = True
             stage = self._wait_stage(name)
             data = stage.wait(index) if stage else None
         if data is None:
             inbound.reply(peers.ChunkMissing(version=name, index=index))
             return
         self.served_at[name] = time.monotonic()
-        self.upload.take(len(data))
+        wait_s = self.upload.charge(len(data))
+        if wait_s > PROMISE_AFTER_S and not promised:
+            self._promise(inbound)
+        eventlet.sleep(wait_s)
         inbound.reply(peers.ChunkFound(version=name, index=index), data)
 
+    def _promise(self, inbound: peers.Inbound) -> None:
+        """Tell a peer that its chunk will come."""
+        inbound.reply(
+            peers.ChunkPending(
+                version=inbound.message.version,
+                index=inbound.message.index,
+                incarnation=self.node.incarnation,
+            )
+        )
+
     def activated(self, name: str) -> None:
         """Note that the engine has a version; it is freed when idle."""
         self.served_at[name] = time.monotonic()
