Rotate by the golden section, so that a window spreads evenly

Cause: in a zone of 32 hosts the 32 chunks in flight turn the tree by 10 places only, and the same half of the hosts does the uploads meanwhile. Ruled out: time-outs and origin reads (none, 1.00 copies). Change: turns are multiples of about 0.618 of the zone's size.

--- a/zinniadyke/weights/_plan.py
+++ b/zinniadyke/weights/_plan.py
@@ -8,6 +8,8 @@
 gives every host each position equally often, so uploads are balanced.
 """
 
+import math
+
 import msgspec
 
 from zinniadyke import ids
@@ -15,6 +17,7 @@
 from zinniadyke import rendezvous
 
 ARITY = 2
+GOLDEN_SECTION = 0.618
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,7 +48,21 @@
         """Return zones and hosts as rotated for one chunk."""
         zones = rendezvous.rotate(self.zones, index)
         turn = index // max(len(self.zones), 1)
-        return [rendezvous.rotate(zone, turn) for zone in zones]
+        return [
+            rendezvous.rotate(zone, turn * stride(len(zone))) for zone in zones
+        ]
+
+
+def stride(count: int) -> int:
+    """Return by how much to rotate, so that few turns spread evenly.
+
+    Turns are multiples of about the golden section of ``count``, and come
+    to every position once in ``count`` turns.
+    """
+    step = max(1, round(count * GOLDEN_SECTION))
+    while math.gcd(step, count) != 1:
+        step += 1
+    return step
 
 
 def candidates(
