--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -19,7 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 
-WINDOW_CHUNKS = 32
+WINDOW_CHUNKS = 64
 ACK_TIMEOUT_S = 1.0
 PING_INTERVAL_S = 1.0
 CHECK_INTERVAL_S = 4.0
