--- a/benchmarks/rollout_processes.py
+++ b/benchmarks/rollout_processes.py
@@ -249,7 +249,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--hosts", type=int, default=24)
     parser.add_argument("--size", type=int, default=8, help="in MiB")
-    parser.add_argument("--chunk", type=int, default=64, help="in KiB")
+    parser.add_argument("--chunk", type=int, default=32, help="in KiB")
     parser.add_argument("--wanted", type=float, default=24.0)
     parser.add_argument("--favour", default="origin")
     options = parser.parse_args()
