Stage on N hosts only if a rollout wants N replicas

Cause: a rollout to N of many hosts staged on all of them. Change: the N live hosts first by hash stage and form the trees; when one leaves the list the next one joins.

--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -176,3 +176,20 @@
     stager = cluster.agents["drafting-1"].stager
     placement = stager._placement("drafting/1")
     return [zone[0] for zone in placement.zones]
+
+
+def test_a_rollout_that_wants_fewer_replicas_burdens_no_other_host(system):
+    cluster = system.cluster
+    release = cluster.release("2", 8192, 1024)
+    text = release.declaration + cluster.rollout("2", 2, replicas=1)
+    system.apply(text)
+    assert system.wait(lambda: len(cluster.serving("2")) == 1)
+    chosen = cluster.serving("2")[0]
+    other = next(n for n in cluster.agents if n != chosen)
+    assert cluster.serving("1") == [other]
+    assert "drafting/2" not in cluster.agents[other].stager.stages
+    cluster.agents[chosen].stop()
+    cluster.engines[chosen].stop()
+    del cluster.agents[chosen], cluster.engines[chosen]
+    cluster.publish_hosts()
+    assert system.wait(lambda: cluster.serving("2") == [other])
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -14,6 +14,7 @@
 from zinniadyke import origin
 from zinniadyke import peers
 from zinniadyke import platform
+from zinniadyke import rendezvous
 from zinniadyke import telemetry
 from zinniadyke import weights
 
@@ -62,7 +63,7 @@
         self.manifests: dict[str, weights.Manifest] = {}
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
-        self.placements: dict[tuple[str, str], weights.Placement] = {}
+        self.placements: dict[tuple[str, str, int], weights.Placement] = {}
         self.served_at: dict[str, float] = {}
         self.freed: set[str] = set()
         self.choose = weights.candidates
@@ -102,7 +103,7 @@
                 continue
             name = f"{model}/{current[1].version}"
             version = self._declared(name)
-            if version is not None:
+            if version is not None and self._is_chosen(name):
                 found[name] = version
         return found
 
@@ -257,12 +258,38 @@
         )
 
     def _placement(self, name: str) -> weights.Placement:
-        key = (name, self.node.sync.hosts_digest)
+        revision = self.node.store.revision
+        key = (name, self.node.sync.hosts_digest, revision)
+        if self.placements and next(iter(self.placements))[1:] != key[1:]:
+            self.placements.clear()
         if key not in self.placements:
-            hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
-            self.placements = {key: weights.Placement.of(hosts, name)}
+            hosts = self._chosen_hosts(name)
+            self.placements[key] = weights.Placement.of(hosts, name)
         return self.placements[key]
 
+    def _chosen_hosts(self, name: str) -> list[platform.Host]:
+        """Return the hosts that a rollout of ``name`` is for.
+
+        Of a rollout that wants N replicas these are N of the listed live
+        hosts, so that the N are not slowed down by the others.
+        """
+        hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
+        model, _, version = name.partition("/")
+        current = self.node.configuration.current_rollout(model)
+        if not current or current[1].version != version:
+            return hosts
+        wanted = current[1].replicas
+        if not wanted:
+            return hosts
+        live = [h for h in hosts if h.state is platform.HostState.LIVE]
+        live.sort(key=lambda host: rendezvous.weight(name, host.name))
+        return live[:wanted]
+
+    def _is_chosen(self, name: str) -> bool:
+        placement = self._placement(name)
+        me = self.node.me.name
+        return any(h.name == me for zone in placement.zones for h in zone)
+
     def _free_if_idle(self, name: str) -> None:
         """Free a version that serves here and that no peer asks for."""
         if name not in self.stages or self.gate.version != name:
