Settings errors say what is allowed

Cause: an unknown key or a wrong choice was named without the right ones. Change: such errors list the keys or values that the schema has there.

--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -34,6 +34,13 @@
     [
         (("zone = ", "zone = 3 #"), "agent.zone: Expected `str`, got `int`"),
         (("zone = ", "zon = "), "unknown field `zon`"),
+        (("zone = ", "zon = "), "allowed: burst_kib, download_mib_s"),
+        (("[platform]", "[plat]"), "allowed: agent, entry, fake"),
+        (
+            ("[platform]", '[log]\nlevel = "loud"\n[platform]'),
+            "log.level: Invalid enum value 'loud' (found 'loud');"
+            " allowed: debug, info, warning, error",
+        ),
         (('"127.0.0.1:7001"', '"host:7001"'), "agent.peer: expected an IP"),
         (('"127.0.0.1:7001"', '"127.0.0.1:70010"'), "(found '127.0.0.1:70"),
         (("[agent]", "[agent"), "agent.toml: "),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -156,3 +156,38 @@
     assert requests
     assert all(r["workspace"] == "intake" for r in requests)
     assert FLEET_TOKEN not in str(log)
+
+
+def test_a_second_signal_ends_a_process_at_once(tmp_path):
+    ports = copy_with_free_ports(tmp_path)
+    config = str(tmp_path / "entry-1.toml")
+    process = subprocess.Popen(
+        command("entry", "--config", config), stderr=subprocess.DEVNULL
+    )
+    try:
+        entry = f"http://127.0.0.1:{ports['8081']}"
+        pool = urllib3.PoolManager(retries=False)
+        wait_healthy(pool, entry)
+        process.send_signal(signal.SIGTERM)
+        while pool.request("GET", entry + "/readyz").data != b"":
+            time.sleep(0.01)
+        time.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(LIMIT_S) == 1
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_wrong_settings_file_is_one_plain_line(tmp_path):
+    path = tmp_path / "entry.toml"
+    path.write_text("[entry]\nname = 3\n")
+    done = subprocess.run(
+        command("entry", "--config", str(path)),
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
+    assert done.returncode == 1
+    assert done.stderr.startswith("zinniadyke: ")
+    assert len(done.stderr.splitlines()) == 1
--- a/zinniadyke/settings/_load.py
+++ b/zinniadyke/settings/_load.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 import tomllib
+import typing
 
 import msgspec
 
@@ -41,11 +42,35 @@
 def _explain(message: str, raw: dict) -> str:
     match = PLACE.fullmatch(message)
     if match is None:
-        return message
+        return message + _allowed(message, "")
     reason, key = match.groups()
     found = _look_up(raw, key)
     shown = "" if found is None else f" (found {found!r})"
-    return f"{key}: {reason}{shown}"
+    return f"{key}: {reason}{shown}{_allowed(reason, key)}"
+
+
+def _allowed(reason: str, key: str) -> str:
+    """Return what a key may hold, where the reason does not say it."""
+    wanted = _type_at(key)
+    if "unknown field" in reason:
+        names = msgspec.structs.fields(wanted)
+        listed = sorted(field.name for field in names)
+    elif "enum value" in reason:
+        listed = [member.value for member in wanted]
+    else:
+        return ""
+    return f"; allowed: {', '.join(listed)}"
+
+
+def _type_at(key: str) -> type:
+    """Return the type of the schema at a dotted key."""
+    found = _schema.Settings
+    for part in key.split(".") if key else []:
+        name, _, _ = part.partition("[")
+        found = typing.get_type_hints(found)[name]
+        while options := typing.get_args(found):
+            found = next(o for o in options if o is not type(None))
+    return found
 
 
 def _look_up(raw: dict, key: str):
