Split the largest modules by what they are for

Change: messages by purpose and a codec; a chunk server beside the stager; rows apart from the operators' API.

--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -20,7 +20,7 @@
 from zinniadyke import control
 from zinniadyke import objects
 from zinniadyke import peers
-from zinniadyke.peers import _messages
+from zinniadyke.peers import _codec
 
 ROUNDS = 3000
 FRAMES = 20000
@@ -102,9 +102,9 @@
     server.stop()
     return {
         "status_round_trip_us_both_ends": round_trip * 1e6,
-        "status_bytes": len(_messages.encode(answer)),
+        "status_bytes": len(_codec.encode(answer)),
         "frame_us_both_ends": frame * 1e6,
-        "frame_header_bytes": len(_messages.encode(frames(10))),
+        "frame_header_bytes": len(_codec.encode(frames(10))),
     }
 
 
@@ -133,10 +133,10 @@
     return {
         "object_bytes": held / OBJECTS,
         "change_us_per_object_held": install * 1e6 / OBJECTS,
-        "delta_bytes": len(_messages.encode(peers.SyncReply(delta=change))),
+        "delta_bytes": len(_codec.encode(peers.SyncReply(delta=change))),
         "head_bytes_per_object": len(str(key)) + 40,
-        "sync_bytes": len(_messages.encode(sync)),
-        "sync_reply_bytes": len(_messages.encode(peers.SyncReply())),
+        "sync_bytes": len(_codec.encode(sync)),
+        "sync_reply_bytes": len(_codec.encode(peers.SyncReply())),
     }
 
 
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from zinniadyke.agent import _chunk_server
 from zinniadyke.agent import _engine_watch
 from zinniadyke.agent import _fence
 from zinniadyke.agent import _gate
@@ -73,15 +74,19 @@
             service=self.service,
             gate=self.gate,
             budget_bytes=settings.staging_mib * MIB,
-            upload=weights.TokenBucket(
-                bytes_per_s=settings.upload_mib_s * MIB,
-                burst_bytes=settings.burst_kib * KIB,
-            ),
             download=weights.TokenBucket(
                 bytes_per_s=settings.download_mib_s * MIB,
                 burst_bytes=settings.burst_kib * KIB,
             ),
         )
+        self.chunks = _chunk_server.ChunkServer(
+            stager=self.stager,
+            upload=weights.TokenBucket(
+                bytes_per_s=settings.upload_mib_s * MIB,
+                burst_bytes=settings.burst_kib * KIB,
+            ),
+            incarnation=self.node.incarnation,
+        )
         self.orders = _orders.Orders(
             gate=self.gate,
             fence=self.fence,
@@ -107,7 +112,7 @@
         server.handle(peers.Run, self.runner.run)
         server.handle(peers.CloseAttempt, self.runner.close)
         server.handle(peers.GetStatus, self._answer_status)
-        server.handle(peers.GetChunk, self.stager.serve)
+        server.handle(peers.GetChunk, self.chunks.answer)
         server.handle(peers.Activate, self.orders.activate)
         self.node.start()
         self.tasks = [
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -12,7 +12,6 @@
 from zinniadyke import ids
 from zinniadyke import objects
 from zinniadyke import origin
-from zinniadyke import peers
 from zinniadyke import platform
 from zinniadyke import rendezvous
 from zinniadyke import telemetry
@@ -22,14 +21,12 @@
 
 POLL_S = 1.0
 RETRY_S = 2.0
-PROMISE_AFTER_S = 0.2
 RETAIN_IDLE_S = 20.0
 ORIGIN_COPIES_FOR_TIME = 1.5
-APPEAR_TIMEOUT_S = 20.0
 
 
 class Stager:
-    """Follows the configuration, fetches versions and serves chunks.
+    """Follows the configuration and fetches versions.
 
     Parameters
     ----------
@@ -37,8 +34,8 @@
         The target's gate, which tells what serves.
     budget_bytes
         Memory for staged weights.
-    upload, download
-        Pacing of bulk bytes per direction.
+    download
+        Pacing of bulk bytes that come in.
     """
 
     def __init__(
@@ -48,7 +45,6 @@
         service: ids.ServiceName,
         gate: _gate.Gate,
         budget_bytes: int,
-        upload: weights.TokenBucket,
         download: weights.TokenBucket,
     ) -> None:
         """Start with nothing staged."""
@@ -56,7 +52,6 @@
         self.service = service
         self.gate = gate
         self.budget_bytes = budget_bytes
-        self.upload = upload
         self.download = download
         self.origin_client = origin.OriginClient()
         self.stages: dict[str, weights.Stage] = {}
@@ -64,7 +59,7 @@
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
         self.placements: dict[tuple[str, str, int], weights.Placement] = {}
-        self.served_at: dict[str, float] = {}
+        self.asked_at: dict[str, float] = {}
         self.freed: set[str] = set()
         self.choose = weights.candidates
         self.waiting = 0
@@ -107,40 +102,26 @@
                 found[name] = version
         return found
 
-    def serve(self, inbound: peers.Inbound) -> None:
-        """Answer GetChunk: at once, or once the chunk has arrived."""
-        message = inbound.message
-        name, index = message.version, message.index
-        data = self._held(name, index)
-        promised = False
-        if data is None and message.wait and self._may_stage(name):
-            self._promise(inbound)
-            promised = True
-            stage = self._wait_stage(name)
-            data = stage.wait(index) if stage else None
-        if data is None:
-            inbound.reply(peers.ChunkMissing(version=name, index=index))
-            return
-        self.served_at[name] = time.monotonic()
-        wait_s = self.upload.charge(len(data))
-        if wait_s > PROMISE_AFTER_S and not promised:
-            self._promise(inbound)
-        eventlet.sleep(wait_s)
-        inbound.reply(peers.ChunkFound(version=name, index=index), data)
-
-    def _promise(self, inbound: peers.Inbound) -> None:
-        """Tell a peer that its chunk will come."""
-        inbound.reply(
-            peers.ChunkPending(
-                version=inbound.message.version,
-                index=inbound.message.index,
-                incarnation=self.node.incarnation,
-            )
-        )
+    def held_chunk(self, name: str, index: int) -> bytes | None:
+        """Return a verified chunk, or None."""
+        if index == weights.MANIFEST_INDEX and name in self.manifests:
+            return self.manifests[name].encode()
+        stage = self.stages.get(name)
+        return stage.chunks.get(index) if stage else None
+
+    def may_stage(self, name: str) -> bool:
+        """Return whether the version is, or may soon be, staged here."""
+        if name in self.stages:
+            return True
+        return name not in self.freed and self.gate.version != name
+
+    def note_asked(self, name: str) -> None:
+        """Note that a peer has asked for a version."""
+        self.asked_at[name] = time.monotonic()
 
     def activated(self, name: str) -> None:
         """Note that the engine has a version; it is freed when idle."""
-        self.served_at[name] = time.monotonic()
+        self.asked_at[name] = time.monotonic()
 
     def restage(self, name: str) -> None:
         """Fetch a version again, since the engine has lost it."""
@@ -182,24 +163,6 @@
         model, _, version = name.partition("/")
         return self.node.configuration.get("version", version, model)
 
-    def _held(self, name: str, index: int) -> bytes | None:
-        if index == weights.MANIFEST_INDEX and name in self.manifests:
-            return self.manifests[name].encode()
-        stage = self.stages.get(name)
-        return stage.chunks.get(index) if stage else None
-
-    def _may_stage(self, name: str) -> bool:
-        """Return whether the version is, or may soon be, staged here."""
-        if name in self.stages:
-            return True
-        return name not in self.freed and self.gate.version != name
-
-    def _wait_stage(self, name: str) -> weights.Stage | None:
-        with eventlet.Timeout(APPEAR_TIMEOUT_S, False):
-            while name not in self.stages and name not in self.freed:
-                eventlet.sleep(POLL_S / 20)
-        return self.stages.get(name)
-
     def _start(self, name: str, version: objects.Version) -> None:
         if name in self.stages or name in self.freed:
             return
@@ -294,7 +257,7 @@
         """Free a version that serves here and that no peer asks for."""
         if name not in self.stages or self.gate.version != name:
             return
-        idle_s = time.monotonic() - self.served_at.get(name, 0.0)
+        idle_s = time.monotonic() - self.asked_at.get(name, 0.0)
         if idle_s >= RETAIN_IDLE_S and not self._is_seed(name):
             self.freed.add(name)
             self._drop(name)
--- a/zinniadyke/entry/_operators.py
+++ b/zinniadyke/entry/_operators.py
@@ -11,28 +11,15 @@
 from zinniadyke.entry import _http
 from zinniadyke.entry import _read_request
 from zinniadyke.entry import _routing
+from zinniadyke.entry import _rows
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import language
 from zinniadyke import objects
-from zinniadyke import peers
 
 MAX_STATEMENTS_BYTES = 1 << 20
 WAIT_POLL_S = 0.2
 
-NO_STATUS = peers.Status(
-    host=ids.HostName(""),
-    zone=ids.ZoneName(""),
-    service=ids.ServiceName(""),
-    incarnation=ids.Incarnation(""),
-    gate=peers.GateState.CLOSED,
-    version="",
-    staged=[],
-    running=0,
-    slots=0,
-    revision=0,
-)
-
 
 class QueryResult(msgspec.Struct, kw_only=True):
     """Answer to a query: rows, or lines of text."""
@@ -54,6 +41,7 @@
         """Hold the entry."""
         self.entry = entry
         self.node = entry.node
+        self.rows = _rows.Rows(entry=entry)
 
     def answer(self, environ, start_response, identity: _auth.Identity):
         """Answer one HTTP request.
@@ -139,72 +127,10 @@
         raise errors.DeclarationError("this is not a query; apply it")
 
     def _rows(self, kind: str, identity: _auth.Identity) -> list[dict]:
-        live = {
-            "targets": self._target_rows,
-            "rollouts": self._rollout_rows,
-            "latency": self.entry.histograms.rows,
-            "processes": self._process_rows,
-        }
-        if kind in live:
-            return _visible(live[kind](), identity)
-        if kind == "workspaces":
-            return _visible(self._workspace_rows(), identity)
-        singular = kind.removesuffix("s")
-        if singular not in objects.KINDS:
-            known = [*sorted(live), *(f"{k}s" for k in sorted(objects.KINDS))]
-            raise errors.DeclarationError(
-                f"unknown kind '{kind}'; the kinds are"
-                f" {', '.join(dict.fromkeys(known))}"
-            )
-        return _visible(self._declared_rows(singular), identity)
-
-    def _declared_rows(self, kind: str) -> list[dict]:
-        scope_name = objects.KINDS[kind].scope
-        rows = []
-        for key, value in self.node.configuration.of_kind(kind):
-            row = {"name": key.name}
-            if scope_name:
-                row[scope_name] = key.scope
-            fields = msgspec.to_builtins(value)
-            fields.pop("tokens", None)
-            fields.pop("operator_tokens", None)
-            rows.append({**row, **fields})
-        return rows
-
-    def _workspace_rows(self) -> list[dict]:
-        rows = self._declared_rows("workspace")
-        return [{"workspace": row["name"], **row} for row in rows]
-
-    def _target_rows(self) -> list[dict]:
-        rows = []
-        for name, pool in sorted(self.entry.requests.pools.items()):
-            for host, link in sorted(pool.links.items()):
-                rows.append(_target_row(name, host, link))
-        return rows
-
-    def _rollout_rows(self) -> list[dict]:
-        rows = []
-        for key, rollout in self.node.configuration.of_kind("rollout"):
-            found = control.read_progress(self.node.client, key.name)
-            found = found or control.RolloutProgress(
-                rollout=key.name,
-                model=rollout.model,
-                version=rollout.version,
-                state=rollout.state.value,
-            )
-            rows.append(msgspec.to_builtins(found))
-        return rows
-
-    def _process_rows(self) -> list[dict]:
-        return [
-            {
-                "name": host.name,
-                "role": host.role.value,
-                "zone": host.zone,
-                "state": host.state.value,
-            }
-            for host in self.node.sync.hosts
-        ]
+        rows = self.rows.of_kind(kind)
+        if identity.role is _auth.Role.ADMIN:
+            return rows
+        return [r for r in rows if r.get("workspace") == identity.workspace]
 
     def _wait(self, query: language.Wait) -> QueryResult:
         deadline = time.monotonic() + query.within_s
@@ -221,25 +147,6 @@
         )
 
 
-def _target_row(service: str, host: str, link) -> dict:
-    status = link.status or NO_STATUS
-    model, _, version = status.version.partition("/")
-    return {
-        "name": host,
-        "service": service,
-        "zone": link.host.zone,
-        "model": model,
-        "serving": version,
-        "gate": status.gate.value,
-        "alive": link.alive,
-        "running": status.running,
-        "in_flight": link.in_flight,
-        "progress": status.progress,
-        "waiting": status.waiting,
-        "revision": status.revision,
-    }
-
-
 def _check_allowed(
     change: control.Change,
     identity: _auth.Identity,
@@ -277,9 +184,3 @@
 def _check_workspace(name: str, identity: _auth.Identity) -> None:
     if identity.role is not _auth.Role.ADMIN and name != identity.workspace:
         raise errors.RequestError(code=errors.ResultCode.FORBIDDEN)
-
-
-def _visible(rows: list[dict], identity: _auth.Identity) -> list[dict]:
-    if identity.role is _auth.Role.ADMIN:
-        return rows
-    return [r for r in rows if r.get("workspace") == identity.workspace]
--- /dev/null
+++ b/zinniadyke/peers/_codec.py
@@ -0,0 +1,30 @@
+"""Encodes and decodes messages as MessagePack."""
+
+import msgspec
+
+from zinniadyke.peers import _chunk_messages
+from zinniadyke.peers import _request_messages
+from zinniadyke.peers import _status_messages
+from zinniadyke.peers import _sync_messages
+
+AnyMessage = (
+    _request_messages.Run
+    | _request_messages.Begin
+    | _request_messages.Frames
+    | _request_messages.End
+    | _request_messages.CloseAttempt
+    | _request_messages.AttemptClosed
+    | _status_messages.GetStatus
+    | _status_messages.Status
+    | _status_messages.Activate
+    | _status_messages.OrderResult
+    | _chunk_messages.GetChunk
+    | _chunk_messages.ChunkPending
+    | _chunk_messages.ChunkFound
+    | _chunk_messages.ChunkMissing
+    | _sync_messages.Sync
+    | _sync_messages.SyncReply
+)
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(AnyMessage).decode
--- a/zinniadyke/peers/_connection.py
+++ b/zinniadyke/peers/_connection.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from zinniadyke import errors
-from zinniadyke.peers import _messages
+from zinniadyke.peers import _codec
+from zinniadyke.peers import _message
 
 CALL_ID = struct.Struct(">Q")
 RECONNECT_MS = 200
@@ -31,7 +32,7 @@
         self.call_id = call_id
         self.answers: queue.LightQueue = queue.LightQueue()
 
-    def receive(self, timeout_s: float) -> tuple[_messages.Message, bytes]:
+    def receive(self, timeout_s: float) -> tuple[_message.Message, bytes]:
         """Return the next answer and its payload.
 
         Raises
@@ -76,7 +77,7 @@
         self.socket.connect(f"tcp://{address}")
         self.reader = eventlet.spawn(self._read)
 
-    def start(self, message: _messages.Message, payload: bytes = b"") -> Call:
+    def start(self, message: _message.Message, payload: bytes = b"") -> Call:
         """Send a message and return the call that collects its answers."""
         call = Call(call_id=next(self.numbers))
         self.calls[call.call_id] = call
@@ -84,13 +85,13 @@
         return call
 
     def send(
-        self, call: Call, message: _messages.Message, payload: bytes = b""
+        self, call: Call, message: _message.Message, payload: bytes = b""
     ) -> None:
         """Send a further message of a call."""
         if self.closed:
             raise errors.PeerTimeoutError("the connection is closed")
         self.socket.send_multipart(
-            [CALL_ID.pack(call.call_id), _messages.encode(message), payload]
+            [CALL_ID.pack(call.call_id), _codec.encode(message), payload]
         )
 
     def finish(self, call: Call) -> None:
@@ -99,10 +100,10 @@
 
     def ask(
         self,
-        message: _messages.Message,
+        message: _message.Message,
         timeout_s: float,
         payload: bytes = b"",
-    ) -> tuple[_messages.Message, bytes]:
+    ) -> tuple[_message.Message, bytes]:
         """Send a message and return its first answer.
 
         Raises
@@ -136,7 +137,7 @@
             self.heard_at = time.monotonic()
             try:
                 number = CALL_ID.unpack(frames[0])[0]
-                message = _messages.decode(frames[1])
+                message = _codec.decode(frames[1])
             except (struct.error, IndexError, msgspec.MsgspecError):
                 continue
             call = self.calls.get(number)
--- a/zinniadyke/peers/_server.py
+++ b/zinniadyke/peers/_server.py
@@ -7,7 +7,8 @@
 from eventlet.green import zmq
 import msgspec
 
-from zinniadyke.peers import _messages
+from zinniadyke.peers import _codec
+from zinniadyke.peers import _message
 
 LOG = logging.getLogger(__name__)
 
@@ -31,7 +32,7 @@
         server: "PeerServer",
         peer: bytes,
         call_id: bytes,
-        message: _messages.Message,
+        message: _message.Message,
         payload: bytes,
     ) -> None:
         """Hold the message."""
@@ -41,7 +42,7 @@
         self.message = message
         self.payload = payload
 
-    def reply(self, message: _messages.Message, payload: bytes = b"") -> None:
+    def reply(self, message: _message.Message, payload: bytes = b"") -> None:
         """Send an answer; one message may have several."""
         self.server.send(self.peer, self.call_id, message, payload)
 
@@ -85,11 +86,11 @@
         self,
         peer: bytes,
         call_id: bytes,
-        message: _messages.Message,
+        message: _message.Message,
         payload: bytes,
     ) -> None:
         """Send one message to a connected peer; dropped if it has gone."""
-        body = _messages.encode(message)
+        body = _codec.encode(message)
         self.bytes_sent += len(body) + len(payload)
         self.messages_sent += 1
         if self.socket.closed:
@@ -119,7 +120,7 @@
             server=self,
             peer=frames[0],
             call_id=frames[1],
-            message=_messages.decode(frames[2]),
+            message=_codec.decode(frames[2]),
             payload=b"".join(frames[3:]),
         )
 
