--- a/tests/language/test_parser.py
+++ b/tests/language/test_parser.py
@@ -35,6 +35,15 @@
     assert found["rollout//r7"].state is objects.RolloutState.PAUSED
 
 
+def test_quoted_texts_keep_every_script():
+    text = 'route r of w { model = "ملخص \\"x\\" \\u00e9" }'
+    (change,) = changes_of(text)
+    assert change.value.model == 'ملخص "x" é'
+    rendered = language.render_object(change.key, change.value)
+    assert "ملخص" in rendered
+    assert changes_of(rendered) == [change]
+
+
 def test_rendered_objects_are_read_back_the_same():
     wanted = {c.key: c.value for c in changes_of(TEXT)}
     text = "".join(language.render_object(k, v) for k, v in wanted.items())
--- a/zinniadyke/language/_parser.py
+++ b/zinniadyke/language/_parser.py
@@ -1,6 +1,7 @@
 """Parses text into statements."""
 
 import functools
+import json
 import pathlib
 
 import lark
@@ -113,6 +114,16 @@
     return objects.ObjectKey(kind=kind, scope=scope or "", name=name)
 
 
+def _unquote(text: str) -> str:
+    """Return the value of a quoted text; escapes are those of JSON."""
+    try:
+        return json.loads(text, strict=False)
+    except ValueError as error:
+        raise errors.DeclarationError(
+            f"{text}: {error}", code=errors.ResultCode.SYNTAX
+        )
+
+
 @lark.v_args(meta=True)
 class _Builder(lark.Transformer):
     """Turns the parse tree into statements."""
@@ -213,10 +224,11 @@
         return dict(item for item in items if item is not None)
 
     def pair(self, meta, items):
-        return str(items[0]).strip('"'), items[1]
+        key = str(items[0])
+        return _unquote(key) if key.startswith('"') else key, items[1]
 
     def text(self, meta, items):
-        return str(items[0])[1:-1].encode().decode("unicode_escape")
+        return _unquote(str(items[0]))
 
     def word(self, meta, items):
         return Word(items[0])
--- a/zinniadyke/language/_render.py
+++ b/zinniadyke/language/_render.py
@@ -40,8 +40,12 @@
     if isinstance(item, list):
         return "[" + ", ".join(_render(i) for i in item) + "]"
     if isinstance(item, dict):
-        pairs = (f"{json.dumps(k)}: {_render(v)}" for k, v in item.items())
+        pairs = (f"{_quote(k)}: {_render(v)}" for k, v in item.items())
         return "{" + ", ".join(pairs) + "}"
     if isinstance(item, str):
-        return item if PLAIN_WORD.fullmatch(item) else json.dumps(item)
+        return item if PLAIN_WORD.fullmatch(item) else _quote(item)
     return str(item)
+
+
+def _quote(text: str) -> str:
+    return json.dumps(text, ensure_ascii=False)
