A request that never left is not run; closed connections are replaced

Cause: a connection that had been closed raised a time-out at sending, which became 'unknown' for a request that had not left; a link kept its closed connection if a host went from the list and came back between two looks. Ruled out: the close of idle connections itself. Change: such an attempt is 'not run' and goes elsewhere; a link with a closed connection is replaced.

--- a/zinniadyke/entry/_attempt.py
+++ b/zinniadyke/entry/_attempt.py
@@ -64,7 +64,7 @@
             stream=self.call.stream,
             timeout_s=self.call.time_left_s(),
         )
-        self.exchange = self.link.connection.start(message, self.call.body)
+        self.exchange = self._send(message)
         answer, _ = self._next()
         if isinstance(answer, peers.Begin):
             self.status = answer.status
@@ -73,6 +73,13 @@
         self._check_end(answer)
         raise errors.RequestError(code=errors.ResultCode.STREAM_BROKEN)
 
+    def _send(self, message: peers.Run) -> peers.Call:
+        try:
+            return self.link.connection.start(message, self.call.body)
+        except errors.PeerTimeoutError:
+            # It never left this process.
+            raise errors.RequestError(code=errors.ResultCode.NO_TARGET)
+
     def parts(self):
         """Yield the parts of the answer up to its marked end.
 
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -42,7 +42,7 @@
         hosts = {host.name: host for host in self._subset()}
         for name, link in list(self.links.items()):
             host = hosts.get(name)
-            if host is None or host.peer != link.host.peer:
+            if host is None or not link.leads_to(host):
                 del self.links[name]
                 link.retire(replaced=host is not None)
                 self.retired.append(link)
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -95,6 +95,10 @@
             self.failures = 0
             self.ejected_until = now + EJECT_S
 
+    def leads_to(self, host: platform.Host) -> bool:
+        """Return whether the connection is open, to this host's process."""
+        return self.host.peer == host.peer and not self.connection.closed
+
     def retire(self, *, replaced: bool) -> None:
         """Take no new work; the heartbeat goes on for work in progress.
 
