Close the connection that is meant, not a newer one to the address

Cause: a retired link closed whatever connection its address had by then, so the link that replaced it lost its own again and again. Change: a connection is closed by itself, and forgotten only if it still is the one at its address.

--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -58,7 +58,8 @@
 def test_a_closed_connection_is_opened_again(system):
     entry = system.cluster.entries[0]
     for agent in system.cluster.agents.values():
-        entry.node.disconnect(agent.node.me.peer)
+        peer = agent.node.me.peer
+        entry.node.disconnect(entry.node.connections[peer])
     assert system.wait(lambda: system.cluster.sees_all(entry))
     assert system.ask() == ""
 
--- a/zinniadyke/control/_node.py
+++ b/zinniadyke/control/_node.py
@@ -87,18 +87,18 @@
             self.connections[address] = found
         return found
 
-    def disconnect(self, address: str) -> None:
-        """Close the connection to a process that is gone."""
-        found = self.connections.pop(address, None)
-        if found is not None:
-            found.close()
+    def disconnect(self, connection: peers.PeerConnection) -> None:
+        """Close a connection; a newer one to the address stays."""
+        if self.connections.get(connection.address) is connection:
+            del self.connections[connection.address]
+        connection.close()
 
     def _close_unlisted(self) -> None:
         """Close idle connections to processes that are not listed."""
         listed = {host.peer for host in self.sync.hosts}
-        for address, connection in list(self.connections.items()):
-            if address not in listed and not connection.calls:
-                self.disconnect(address)
+        for connection in list(self.connections.values()):
+            if connection.address not in listed and not connection.calls:
+                self.disconnect(connection)
 
     def start(self) -> None:
         """Begin to answer peers and to follow the configuration."""
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -58,7 +58,7 @@
         for link in [x for x in self.retired if x.idle]:
             self.retired.remove(link)
             link.close()
-            self.node.disconnect(link.host.peer)
+            self.node.disconnect(link.connection)
 
     def acquire(
         self, call: _call.CallerRequest, avoid: set[ids.HostName]
