Benchmarks share their settings templates

Cause: the same settings stood in three benchmark scripts. Change: they stand in benchmarks/processes.py.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -29,17 +29,6 @@
 ZONES = ["cairo", "alexandria", "asyut"]
 READY_LIMIT_S = 120.0
 IN_FORCE_LIMIT_S = 20.0
-AGENT = """
-[platform]
-url = "http://{platform}"
-[agent]
-name = "host-{number}"
-zone = "{zone}"
-region = "egypt"
-service = "records"
-peer = "{peer}"
-engine = "http://{service}"
-"""
 
 
 class Fleet:
@@ -85,12 +74,13 @@
         self.starter.start(["fake", kind], kind, text)
 
     def _start_agent(self, host, platform_at, service_at):
-        text = AGENT.format(
+        text = processes.AGENT.format(
             platform=platform_at,
-            number=host.name.removeprefix("host-"),
+            name=host.name,
             zone=host.zone,
+            service="records",
             peer=host.peer,
-            service=service_at,
+            engine=service_at,
         )
         return self.starter.start(["agent"], host.name, text)
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -7,6 +7,39 @@
 import sys
 
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+ENTRY = """
+[platform]
+url = "http://{platform}"
+[log]
+level = "warning"
+[entry]
+name = "entry-1"
+zone = "cairo"
+region = "egypt"
+http = "{http}"
+peer = "{peer}"
+admin_tokens = ["{admin}"]
+"""
+AGENT = """
+[platform]
+url = "http://{platform}"
+[agent]
+name = "{name}"
+zone = "{zone}"
+region = "egypt"
+service = "{service}"
+peer = "{peer}"
+engine = "http://{engine}"
+"""
+HOST = """
+[[fake.platform.hosts]]
+name = "{name}"
+role = "{role}"
+zone = "{zone}"
+region = "egypt"
+peer = "{peer}"
+service = "{service}"
+"""
 
 
 def free_addresses(count: int) -> list[str]:
--- a/benchmarks/request_latency.py
+++ b/benchmarks/request_latency.py
@@ -39,39 +39,6 @@
     "stream": True,
     "messages": [{"role": "user", "content": "a claim"}],
 }
-ENTRY = """
-[platform]
-url = "http://{platform}"
-[log]
-level = "warning"
-[entry]
-name = "entry-1"
-zone = "cairo"
-region = "egypt"
-http = "{http}"
-peer = "{peer}"
-admin_tokens = ["{admin}"]
-"""
-AGENT = """
-[platform]
-url = "http://{platform}"
-[agent]
-name = "{name}"
-zone = "cairo"
-region = "egypt"
-service = "drafting"
-peer = "{peer}"
-engine = "http://{engine}"
-"""
-HOST = """
-[[fake.platform.hosts]]
-name = "{name}"
-role = "{role}"
-zone = "cairo"
-region = "egypt"
-peer = "{peer}"
-service = "{service}"
-"""
 ORIGIN = """
 [fake.origin]
 address = "{address}"
@@ -104,10 +71,20 @@
         self.token = requests.new_token("intake")
         self.admin = requests.new_token("fleet")
         names = [f"drafting-{n}" for n in range(targets)]
-        hosts = HOST.format(
-            name="entry-1", role="entry", peer=peer, service=""
+        hosts = processes.HOST.format(
+            name="entry-1",
+            role="entry",
+            zone="cairo",
+            peer=peer,
+            service="",
         ) + "".join(
-            HOST.format(name=n, role="target", peer=p, service="drafting")
+            processes.HOST.format(
+                name=n,
+                role="target",
+                zone="cairo",
+                peer=p,
+                service="drafting",
+            )
             for n, p in zip(names, agents, strict=True)
         )
         start = self.starter.start
@@ -120,11 +97,16 @@
         ):
             text = f'[fake.engine]\naddress = "{engine}"\n'
             start(["fake", "engine"], f"engine-{name}", text)
-            text = AGENT.format(
-                platform=platform, name=name, peer=agent, engine=engine
+            text = processes.AGENT.format(
+                platform=platform,
+                name=name,
+                zone="cairo",
+                service="drafting",
+                peer=agent,
+                engine=engine,
             )
             self.agents.append(start(["agent"], name, text))
-        text = ENTRY.format(
+        text = processes.ENTRY.format(
             platform=platform,
             http=http,
             peer=peer,
--- a/benchmarks/rollout_processes.py
+++ b/benchmarks/rollout_processes.py
@@ -36,40 +36,11 @@
 ORIGIN_COPIES_IN_TIME = 4
 HOST_COPIES_IN_TIME = 2
 ZONES = ["cairo", "alexandria", "asyut"]
-ENTRY = """
-[platform]
-url = "http://{platform}"
-[entry]
-name = "entry-1"
-zone = "cairo"
-region = "egypt"
-http = "{http}"
-peer = "{peer}"
-admin_tokens = ["{admin}"]
-"""
-AGENT = """
-[platform]
-url = "http://{platform}"
-[agent]
-name = "{name}"
-zone = "{zone}"
-region = "egypt"
-service = "drafting"
-peer = "{peer}"
-engine = "http://{engine}"
+LINKS = """
 upload_mib_s = {rate}
 download_mib_s = {rate}
 burst_kib = {chunk}
 """
-HOST = """
-[[fake.platform.hosts]]
-name = "{name}"
-role = "{role}"
-zone = "{zone}"
-region = "egypt"
-peer = "{peer}"
-service = "{service}"
-"""
 ORIGIN = """
 [fake.origin]
 address = "{address}"
@@ -116,17 +87,18 @@
         ):
             text = f'[fake.engine]\naddress = "{engine}"\n'
             self.starter.start(["fake", "engine"], f"engine-{name}", text)
-            text = AGENT.format(
+            text = processes.AGENT.format(
                 platform=platform,
                 name=name,
                 zone=self.zone(name),
+                service="drafting",
                 peer=agent,
                 engine=engine,
-                rate=HOST_COPIES_IN_TIME * rate,
-                chunk=options.chunk,
+            ) + LINKS.format(
+                rate=HOST_COPIES_IN_TIME * rate, chunk=options.chunk
             )
             self.starter.start(["agent"], name, text)
-        text = ENTRY.format(
+        text = processes.ENTRY.format(
             platform=platform,
             http=http,
             peer=peer,
@@ -139,11 +111,11 @@
         return ZONES[self.names.index(name) % len(ZONES)]
 
     def _start_outside(self, platform, origin, peer, agents, rate) -> None:
-        hosts = HOST.format(
+        hosts = processes.HOST.format(
             name="entry-1", role="entry", zone=ZONES[0], peer=peer, service=""
         )
         for name, agent in zip(self.names, agents, strict=True):
-            hosts += HOST.format(
+            hosts += processes.HOST.format(
                 name=name,
                 role="target",
                 zone=self.zone(name),
