One note of when a staged version was last used

Cause: two methods of the stager had the same body, one for a load by the engine and one for a question of a peer. Change: one method, note_used; behaviour is the same.

--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -38,7 +38,7 @@
     def wanted(self):
         return self.stages
 
-    def activated(self, name: str) -> None:
+    def note_used(self, name: str) -> None:
         """Take the note."""
 
 
--- a/zinniadyke/agent/_chunk_server.py
+++ b/zinniadyke/agent/_chunk_server.py
@@ -52,7 +52,7 @@
         if data is None:
             inbound.reply(peers.ChunkMissing(version=name, index=index))
             return
-        self.stager.note_asked(name)
+        self.stager.note_used(name)
         wait_s = self.upload.charge(len(data))
         if wait_s > PROMISE_AFTER_S and not promised:
             self._promise(inbound)
--- a/zinniadyke/agent/_orders.py
+++ b/zinniadyke/agent/_orders.py
@@ -96,7 +96,7 @@
         self.gate.open(order.version)
         telemetry.count(telemetry.Metric.ACTIVATIONS)
         LOG.info("serving", extra={"version": order.version})
-        self.stager.activated(order.version)
+        self.stager.note_used(order.version)
 
     def _check(self, order: peers.Activate) -> None:
         if order.incarnation != self.incarnation:
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -59,7 +59,7 @@
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
         self.placements: dict[tuple[str, str, int], weights.Placement] = {}
-        self.asked_at: dict[str, float] = {}
+        self.used_at: dict[str, float] = {}
         self.freed: set[str] = set()
         self.choose = weights.candidates
         self.waiting = 0
@@ -115,13 +115,9 @@
             return True
         return name not in self.freed and self.gate.version != name
 
-    def note_asked(self, name: str) -> None:
-        """Note that a peer has asked for a version."""
-        self.asked_at[name] = time.monotonic()
-
-    def activated(self, name: str) -> None:
-        """Note that the engine has a version; it is freed when idle."""
-        self.asked_at[name] = time.monotonic()
+    def note_used(self, name: str) -> None:
+        """Note that the engine or a peer took a version; idle is freed."""
+        self.used_at[name] = time.monotonic()
 
     def restage(self, name: str) -> None:
         """Fetch a version again, since the engine has lost it."""
@@ -257,7 +253,7 @@
         """Free a version that serves here and that no peer asks for."""
         if name not in self.stages or self.gate.version != name:
             return
-        idle_s = time.monotonic() - self.asked_at.get(name, 0.0)
+        idle_s = time.monotonic() - self.used_at.get(name, 0.0)
         if idle_s >= RETAIN_IDLE_S and not self._is_seed(name):
             self.freed.add(name)
             self._drop(name)
