Give permits only to hosts that serve, for one version

At a service's first rollout every host is down, so each got a permit for nothing. If the next rollout became current before the controller's next tick, those permits were still stored, and all hosts, serving by then, were ordered at once. Reproduced at will with a tick of 3 s.

Ruled out: gates closed by the engine watch (no record), stalls of the process, short host lists.

Change: a permit names incarnation and version; hosts that do not serve are ordered without one; an agent that serves reads its permit before it drains; release needs proof that no order can use it. A status is taken only from the host that was asked (a port may have been taken anew).

Measured: the new test fails before ('only 0 served') and passes after; tests/control, tests/agent and the mutations pass.

--- a/tests/agent/test_orders.py
+++ b/tests/agent/test_orders.py
@@ -7,6 +7,7 @@
 from zinniadyke import agent
 from zinniadyke.agent import _fence
 from zinniadyke.agent import _orders
+from zinniadyke import control
 from zinniadyke.control import _lease
 from zinniadyke import engine
 from zinniadyke import errors
@@ -68,6 +69,20 @@
             drain_s=1.0,
         )
 
+    def permit(self, incarnation: str, version: str) -> None:
+        """Make this the only permit of the service."""
+        client = platform.PlatformClient(url=self.platform.url)
+        control.PermitBook(client=client, service="s").step(
+            wanted={
+                "h": control.Permit(incarnation=incarnation, version=version)
+            },
+            is_done=lambda host, permit: True,
+            known={"h"},
+            down=set(),
+            floor=0,
+            fence=1,
+        )
+
     def stop(self) -> None:
         self.platform.stop()
         self.engine.stop()
@@ -112,6 +127,7 @@
 def test_with_the_fence_off_an_old_order_is_carried_out(beside, monkeypatch):
     monkeypatch.setattr(_fence.Fence, "check_number", lambda *args: None)
     orders = beside.orders("life-1")
+    beside.permit("life-1", "m/1")
     send(orders, "m/2", 5, "life-1")
     send(orders, "m/1", 4, "life-1")
     broken = beside.engine.fences != sorted(beside.engine.fences)
@@ -174,3 +190,25 @@
     assert orders.gate.state is peers.GateState.CLOSED
     assert send(orders, "m/1", 1, "life-1") is errors.ResultCode.OK
     assert orders.gate.state is peers.GateState.SERVING
+
+
+@pytest.mark.parametrize(
+    ("life", "version"), [("life-0", "m/2"), ("life-1", "m/1")]
+)
+def test_a_serving_target_needs_its_own_permit_to_stop(beside, life, version):
+    orders = beside.orders("life-1")
+    assert send(orders, "m/1", 1, "life-1") is errors.ResultCode.OK
+    beside.permit(life, version)
+    found = send(orders, "m/2", 1, "life-1")
+    assert found is errors.ResultCode.WAITING_FLOOR
+    assert orders.gate.state is peers.GateState.SERVING
+    beside.permit("life-1", "m/2")
+    assert send(orders, "m/2", 1, "life-1") is errors.ResultCode.OK
+    assert beside.engine.loads == ["m/1", "m/2"]
+
+
+def test_a_drained_target_needs_no_permit(beside):
+    orders = beside.orders("life-1")
+    send(orders, "m/1", 1, "life-1")
+    orders.gate.refuse(leaving=True)
+    assert send(orders, "m/2", 1, "life-1") is errors.ResultCode.OK
--- a/tests/control/test_permits.py
+++ b/tests/control/test_permits.py
@@ -12,10 +12,14 @@
     return control.PermitBook(client=client, service="s")
 
 
+def permit(name, life="life", version="m/2"):
+    return control.Permit(incarnation=f"{name}-{life}", version=version)
+
+
 def step(fake, wanted, *, done=(), down=(), floor=2, fence=1, known=KNOWN):
     return book(fake).step(
-        wanted={name: f"{name}-life" for name in wanted},
-        done=done,
+        wanted={name: permit(name) for name in wanted},
+        is_done=lambda host, permit: host in done,
         known=known,
         down=set(down),
         floor=floor,
@@ -36,12 +40,21 @@
     fake.stop()
 
 
-def test_hosts_that_do_not_serve_cost_nothing_and_count_as_out():
+def test_hosts_that_do_not_serve_get_no_permit_and_count_as_out():
     fake = fakes.FakePlatform()
     found = step(fake, ["a", "b", "c"], down=["a", "d"])
-    assert set(found.out) == {"a"}
-    found = step(fake, ["b"], done=["a"])
+    assert set(found.out) == set()
+    found = step(fake, ["a", "b", "c"], down=["a"])
     assert set(found.out) == {"b"}
+    found = step(fake, ["c"], done=["b"])
+    assert set(found.out) == {"c"}
+    fake.stop()
+
+
+def test_hosts_that_serve_again_are_not_out_by_what_was_before():
+    fake = fakes.FakePlatform()
+    step(fake, sorted(KNOWN), down=KNOWN)
+    assert len(step(fake, sorted(KNOWN)).out) == 2
     fake.stop()
 
 
@@ -59,12 +72,12 @@
     found = step(fake, ["c"], known={"b", "c", "d"})
     assert set(found.out) == {"b"}
     again = book(fake).step(
-        wanted={"b": "b-second-life"},
-        done=[],
+        wanted={"b": permit("b", "second-life")},
+        is_done=lambda host, permit: False,
         known=KNOWN,
-        down={"b"},
+        down={"c"},
         floor=2,
         fence=1,
     )
-    assert again.out == {"b": "b-second-life"}
+    assert again.out == {"b": permit("b", "second-life")}
     fake.stop()
--- a/tests/faults/test_rollout_faults.py
+++ b/tests/faults/test_rollout_faults.py
@@ -5,6 +5,7 @@
 
 from tests.faults import rollout_cell
 from tests.faults import rollout_faults
+from zinniadyke.control import _rollouts
 
 PARALLEL = 9
 
@@ -29,3 +30,10 @@
     steps = ["first chunk", "verify", "load"]
     fault = rollout_faults.both(first, second)
     assert run_row(fault, steps) == {}
+
+
+def test_a_rollout_right_after_the_last_one_keeps_the_floor(monkeypatch):
+    """The controller's next tick comes when the second is staged."""
+    monkeypatch.setattr(_rollouts, "TICK_S", 3.0)
+    monkeypatch.setattr(_rollouts, "IDLE_TICK_S", 3.0)
+    assert rollout_cell.run_cell("resolve", lambda cell: None) == []
--- a/tests/faults/test_rollout_mutations.py
+++ b/tests/faults/test_rollout_mutations.py
@@ -4,6 +4,7 @@
 
 from tests.faults import rollout_cell
 from tests.faults import rollout_faults
+from zinniadyke.agent import _fence
 from zinniadyke.agent import _orders
 from zinniadyke.control import _permits
 from zinniadyke.weights import _stage
@@ -48,6 +49,8 @@
 
 
 def test_without_permits_the_floor_is_broken(monkeypatch):
+    monkeypatch.setattr(_fence.Fence, "check_permit", lambda *args: None)
+
     def grant_all(self, *, wanted, fence, **rest):
         return _permits.Permits(fence=fence, out=wanted)
 
--- a/zinniadyke/agent/_fence.py
+++ b/zinniadyke/agent/_fence.py
@@ -38,6 +38,8 @@
     ) -> None:
         """Start with an unknown floor."""
         self.client = client
+        self.host = host
+        self.service = service
         self.key = AGENT_PREFIX + host
         self.lease_key = control.lease_key(service)
         self.incarnation = incarnation
@@ -108,6 +110,26 @@
                 code=errors.ResultCode.STALE_INCARNATION
             )
 
+    def check_permit(self, version: str) -> None:
+        """Refuse to stop serving without this agent's permit.
+
+        An order may have been on its way for long, and its permit have
+        been released since.
+
+        Raises
+        ------
+        OrderRefusedError
+            The platform holds no such permit.
+        PlatformError
+            The platform did not answer.
+        """
+        held = control.read_permit(self.client, self.service, self.host)
+        needed = control.Permit(incarnation=self.incarnation, version=version)
+        if held != needed:
+            raise errors.OrderRefusedError(
+                code=errors.ResultCode.WAITING_FLOOR
+            )
+
 
 def _decode(value: bytes | None) -> AgentRecord | None:
     if value is None:
--- a/zinniadyke/agent/_orders.py
+++ b/zinniadyke/agent/_orders.py
@@ -80,6 +80,10 @@
         stage = self.stager.stages.get(order.version)
         if stage is None or not stage.complete:
             raise errors.OrderRefusedError(code=errors.ResultCode.NOT_STAGED)
+        if self.gate.shown is peers.GateState.SERVING:
+            self.fence.check_permit(order.version)
+        # Nothing may run between this check and the drain.
+        self._check_wanted(order.version)
         before = self.gate.version
         if not self.gate.drain(self.drain_s):
             self.gate.open(before)
@@ -105,9 +109,12 @@
             )
         self.fence.check_number(order.fence)
         self.fence.check_current()
-        if order.version not in self.stager.wanted():
+        self._check_wanted(order.version)
+
+    def _check_wanted(self, version: str) -> None:
+        if version not in self.stager.wanted():
             raise errors.OrderRefusedError(
-                f"{order.version} is not the current rollout's version",
+                f"{version} is not the current rollout's version",
                 code=errors.ResultCode.STALE_FENCE,
             )
 
--- a/zinniadyke/control/__init__.py
+++ b/zinniadyke/control/__init__.py
@@ -12,8 +12,10 @@
 from zinniadyke.control._lease import Lease
 from zinniadyke.control._lease import lease_fence
 from zinniadyke.control._node import Node
+from zinniadyke.control._permits import Permit
 from zinniadyke.control._permits import PermitBook
 from zinniadyke.control._permits import Permits
+from zinniadyke.control._permits import read_permit
 from zinniadyke.control._progress import read_progress
 from zinniadyke.control._progress import RolloutProgress
 from zinniadyke.control._rollouts import lease_key
@@ -28,6 +30,7 @@
     "Head",
     "Lease",
     "Node",
+    "Permit",
     "PermitBook",
     "Permits",
     "RolloutController",
@@ -39,5 +42,6 @@
     "load_configuration",
     "plan_changes",
     "read_head",
+    "read_permit",
     "read_progress",
 ]
--- a/zinniadyke/control/_permits.py
+++ b/zinniadyke/control/_permits.py
@@ -1,6 +1,6 @@
 """Permits to take a replica out of service, held in the platform."""
 
-from collections.abc import Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -10,6 +10,19 @@
 PERMIT_PREFIX = "permit/"
 
 
+class Permit(msgspec.Struct, frozen=True, kw_only=True):
+    """Permission for one agent to stop serving in order to load a version.
+
+    Attributes
+    ----------
+    version
+        ``model/version`` that it may load.
+    """
+
+    incarnation: ids.Incarnation
+    version: str
+
+
 class Permits(msgspec.Struct, frozen=True, kw_only=True):
     """Stored form of a service's permits.
 
@@ -18,11 +31,11 @@
     fence
         Highest fencing number that has written it.
     out
-        Host to the incarnation that may be out of service.
+        Host to its permit.
     """
 
     fence: int = 0
-    out: dict[str, str] = {}
+    out: dict[str, Permit] = {}
 
 
 class PermitBook:
@@ -30,7 +43,8 @@
 
     Every grant is a conditional update that counts what the platform
     holds, so two holders who both believe that they lead cannot together
-    grant more than the floor leaves.
+    grant more than the floor leaves. A host that does not serve needs no
+    permit, and gets none: it could serve again before an order arrives.
 
     Parameters
     ----------
@@ -51,23 +65,25 @@
     def step(
         self,
         *,
-        wanted: dict[str, str],
-        done: Iterable[str],
+        wanted: dict[str, Permit],
+        is_done: Callable[[str, Permit], bool],
         known: set[str],
         down: set[str],
         floor: int,
         fence: ids.FencingNumber,
     ) -> Permits:
-        """Release ``done`` and grant as many of ``wanted`` as may be.
+        """Release what is done and grant as many of ``wanted`` as may be.
 
         Parameters
         ----------
         wanted
-            Hosts to take out, with their incarnations, in order.
+            Hosts to take out of service, with their permits, in order.
+        is_done
+            Tells whether a host no longer needs the permit that it has.
         known
             Targets of the service that the platform lists.
         down
-            Hosts that do not serve; taking them out costs nothing.
+            Hosts that do not serve.
         floor
             Replicas that must keep serving.
 
@@ -81,22 +97,22 @@
         PlatformError
             The platform did not answer; nothing new may be assumed.
         """
-        finished = set(done)
 
         def change(value: bytes | None) -> bytes | None:
             present = _decode(value)
             if present.fence > fence:
                 return None
             out = {
-                host: incarnation
-                for host, incarnation in present.out.items()
-                if host in known and host not in finished
+                host: permit
+                for host, permit in present.out.items()
+                if host in known and not is_done(host, permit)
             }
-            for host, incarnation in wanted.items():
+            for host, permit in wanted.items():
+                if host in down:
+                    continue
                 serving = len(known - down - out.keys())
-                free = host in out or host in down
-                if free or serving > floor:
-                    out[host] = incarnation
+                if host in out or serving > floor:
+                    out[host] = permit
             result = Permits(fence=int(fence), out=out)
             return None if result == present else msgspec.json.encode(result)
 
@@ -109,6 +125,24 @@
         return _decode(stored.value if stored else None)
 
 
+def read_permit(
+    client: platform.PlatformClient,
+    service: ids.ServiceName,
+    host: ids.HostName,
+) -> Permit | None:
+    """Return the permit that a host has.
+
+    Raises
+    ------
+    PlatformError
+        The platform did not answer.
+    """
+    stored = client.get(
+        PERMIT_PREFIX + service, purpose=platform.Purpose.PERMIT
+    )
+    return _decode(stored.value if stored else None).out.get(host)
+
+
 def _decode(value: bytes | None) -> Permits:
     if value is None:
         return Permits()
--- a/zinniadyke/control/_rollouts.py
+++ b/zinniadyke/control/_rollouts.py
@@ -114,7 +114,9 @@
             )
         except errors.PeerTimeoutError:
             return None
-        return status if isinstance(status, peers.Status) else None
+        if not isinstance(status, peers.Status) or status.host != host.name:
+            return None
+        return status
 
     def _measure(
         self, key, rollout, name, hosts, statuses
@@ -147,10 +149,20 @@
             for status in statuses.values()
             if name in status.staged and may_swap(status, name, held)
         ]
-        room = wanted_count(rollout, hosts) - progress.serving
+        # Those that do not serve come first; they cost no replica.
+        ready.sort(key=is_serving)
+        room = max(wanted_count(rollout, hosts) - progress.serving, 0)
+        chosen = {
+            status.host: _permits.Permit(
+                incarnation=status.incarnation, version=name
+            )
+            for status in ready[:room]
+        }
         permits = self.book.step(
-            wanted={s.host: s.incarnation for s in ready[: max(room, 0)]},
-            done=finished_hosts(hosts, statuses, name, self.ordered),
+            wanted=chosen,
+            is_done=lambda host, permit: self._is_done(
+                statuses.get(host), permit, name
+            ),
             known={host.name for host in hosts},
             down=down_hosts(hosts, statuses),
             floor=min(rollout.floor, max(len(hosts) - 1, 0)),
@@ -158,12 +170,34 @@
         )
         if permits.fence > self.lease.fence or not self.lease.held:
             return
-        for status in ready:
-            if permits.out.get(status.host) == status.incarnation:
+        for host, permit in chosen.items():
+            status = statuses[host]
+            if not is_serving(status) or permits.out.get(host) == permit:
                 self._order(status, name, hosts)
             elif not status.waiting:
                 code = errors.ResultCode.WAITING_FLOOR.number
-                progress.waiting[status.host] = code
+                progress.waiting[host] = code
+
+    def _is_done(
+        self,
+        status: peers.Status | None,
+        permit: _permits.Permit,
+        name: str,
+    ) -> bool:
+        """Return whether no order can take the host out under its permit.
+
+        A host that is gone keeps its permit until it is back: it is out of
+        service either way.
+        """
+        if status is None or not is_serving(status):
+            return False
+        if status.host in self.ordered:
+            return False
+        loaded = status.version == permit.version
+        restarted = status.incarnation != permit.incarnation
+        knows_rollout = status.revision >= self.node.store.revision
+        superseded = permit.version != name and knows_rollout
+        return loaded or restarted or superseded
 
     def _order(
         self, status: peers.Status, name: str, hosts: list[platform.Host]
@@ -210,14 +244,19 @@
     return f"rollouts/{service}"
 
 
+def is_serving(status: peers.Status) -> bool:
+    """Return whether the agent lets requests through."""
+    return status.gate is peers.GateState.SERVING
+
+
 def serves(status: peers.Status, name: str) -> bool:
     """Return whether the agent lets requests through to ``name``."""
-    return status.gate is peers.GateState.SERVING and status.version == name
+    return is_serving(status) and status.version == name
 
 
 def may_swap(status: peers.Status, name: str, held: bool) -> bool:
     """Return whether a target may be told to serve ``name``."""
-    if held and status.gate is peers.GateState.SERVING:
+    if held and is_serving(status):
         return False
     return not serves(status, name)
 
@@ -236,24 +275,5 @@
     return {
         host.name
         for host in hosts
-        if host.name not in statuses
-        or statuses[host.name].gate is not peers.GateState.SERVING
+        if host.name not in statuses or not is_serving(statuses[host.name])
     }
-
-
-def finished_hosts(
-    hosts: list[platform.Host],
-    statuses: dict[str, peers.Status],
-    name: str,
-    ordered: dict,
-) -> list[str]:
-    """Return the hosts whose permit is no longer needed.
-
-    Those serve the wanted version. A host that is gone keeps its permit
-    until it is back: it is out of service either way.
-    """
-    return [
-        status.host
-        for status in statuses.values()
-        if serves(status, name) and status.host not in ordered
-    ]
