Let requests wait while links are being replaced

Cause: test_a_closed_connection_is_opened_again failed in a whole run. A link whose connection was closed was still offered (so the test's wait ended at once), and after two failed heartbeats on it the pool took its targets for lost and refused with 3004 for up to 0.2 s, as it also did with links that had not been heard yet.

Change: a closed connection admits nothing; a pool refuses only if every target has missed its heartbeats on an open connection.

--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -60,7 +60,20 @@
     for agent in system.cluster.agents.values():
         peer = agent.node.me.peer
         entry.node.disconnect(entry.node.connections[peer])
+    assert not system.cluster.sees_all(entry)
+    # Asked while the links are being replaced.
+    assert [system.ask() for _ in range(20)] == [""] * 20
     assert system.wait(lambda: system.cluster.sees_all(entry))
+
+
+def test_a_request_waits_for_a_target_that_is_not_heard_yet(system):
+    pool = system.cluster.entries[0].requests.pools["drafting"]
+    for link in pool.links.values():
+        link.task.kill()
+        link.missed = _target_link.MISSED_LIMIT
+    assert "NO_TARGET" in system.ask()
+    for link in pool.links.values():
+        link.connection.close()
     assert system.ask() == ""
 
 
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -173,7 +173,7 @@
         return by_version[self.random.choices(names, parts)[0]]
 
     def _check_possible(self, call: _call.CallerRequest) -> None:
-        if any(link.alive for link in self.links.values()):
+        if any(link.may_serve for link in self.links.values()):
             return
         raise errors.RequestError(
             code=errors.ResultCode.NO_TARGET,
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -58,6 +58,15 @@
         """Whether heartbeats are being answered."""
         return self.status is not None and self.missed < MISSED_LIMIT
 
+    @property
+    def may_serve(self) -> bool:
+        """Whether it answers, or is still to be asked.
+
+        A closed connection is replaced at the pool's next refresh; it says
+        nothing about the target.
+        """
+        return self.missed < MISSED_LIMIT or self.connection.closed
+
     @property
     def reachable(self) -> bool:
         """Whether a message may still reach the agent."""
@@ -69,6 +78,7 @@
         return (
             self.alive
             and not self.retired
+            and not self.connection.closed
             and self.status.gate is peers.GateState.SERVING
             and self.host.state is platform.HostState.LIVE
         )
