Read at most 1.5 copies from the origin with any one fault

Cause: three. A stopped fetch went on, because the pool's map starts its tasks in a pool of its own, which nobody killed (found by a test that looked at a cancelled stage: it still grew). A cancel freed what had been staged, so the same version again was read again. Readers sent whole windows at an origin that held other bytes.

Change: both pools are killed; unwanted stages are kept for 30 s or until another version is fetched; reads of the origin begin with one, grow with each verified chunk, and fall back to one with a pause after a failure. A revision is pinned by the first verified chunk.

Ruled out: asking with If-None-Match; it wins nothing more here.

--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -193,3 +193,40 @@
     del cluster.agents[chosen], cluster.engines[chosen]
     cluster.publish_hosts()
     assert system.wait(lambda: cluster.serving("2") == [other])
+
+
+def test_what_a_cancelled_rollout_fetched_is_freed_in_time(
+    system, monkeypatch
+):
+    cluster = system.cluster
+    stager = cluster.agents["drafting-1"].stager
+    cluster.origin.faults.latency_s = 0.2
+    system.apply(
+        cluster.release("2", 1 << 20, 1 << 14).declaration
+        + cluster.rollout("2", 2)
+    )
+    name = "drafting/2"
+    assert system.wait(lambda: name in stager.stages)
+    assert system.wait(lambda: stager.stages[name].size > 0)
+    system.apply("cancel rollout r2")
+    assert system.wait(lambda: name in stager.unwanted)
+    size = stager.unwanted[name].size
+    assert size > 0
+    eventlet.sleep(0.5)
+    assert stager.unwanted[name].size == size
+    monkeypatch.setattr("zinniadyke.agent._stager.KEEP_UNWANTED_S", 0.1)
+    assert system.wait(lambda: not stager.unwanted)
+
+
+def test_what_was_set_aside_makes_room_for_another_version(system):
+    cluster = system.cluster
+    stager = cluster.agents["drafting-1"].stager
+    cluster.origin.faults.latency_s = 0.2
+    for number in ("2", "3"):
+        system.apply(
+            cluster.release(number, 1 << 18, 1 << 14).declaration
+            + cluster.rollout(number, int(number))
+        )
+        name = f"drafting/{number}"
+        assert system.wait(lambda n=name: n in stager.stages)
+        assert not stager.unwanted
--- a/tests/faults/rollout_cell.py
+++ b/tests/faults/rollout_cell.py
@@ -24,11 +24,12 @@
 )
 KIB = 1024
 SIZE = 512 * KIB
-CHUNK = 64 * KIB
+CHUNK = 16 * KIB
 CHUNKS = SIZE // CHUNK
 LINK_MIB_S = 1.5
 LIMIT_S = 90.0
-MAX_COPIES = 4.0
+MAX_COPIES = 1.5
+MAX_COPIES_TWO_FAULTS = 4.0
 STEP_LIMIT_S = 20.0
 POLL_S = 0.002
 LOAD_S = 0.15
@@ -45,7 +46,12 @@
 class Cell:
     """A fleet that serves version 1 and is about to get version 2."""
 
-    def __init__(self, *, checks_fencing: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        checks_fencing: bool = False,
+        max_copies: float = MAX_COPIES,
+    ) -> None:
         self.cluster = demo.Cluster(
             deployment=msgspec.structs.replace(
                 DEPLOYMENT, checks_fencing=checks_fencing
@@ -53,6 +59,7 @@
             seed=7,
         )
         self.random = random.Random(7)
+        self.max_copies = max_copies
         self.victim = "drafting-2"
         self.taken = 0
         self.wanted = NEW
@@ -134,7 +141,7 @@
         if lost:
             faults.append(f"{lost} calls without an outcome")
         copies = self.cluster.origin_copies(self.wanted)
-        if copies > MAX_COPIES:
+        if copies > self.max_copies:
             faults.append(f"{copies:.2f} copies read from the origin")
         least = self.sampler.least
         if least < DEPLOYMENT.floor - self.taken:
--- a/tests/weights/test_stage.py
+++ b/tests/weights/test_stage.py
@@ -52,3 +52,16 @@
     manifest = weights.Manifest(**{"chunk_size": 1000, **fields, **changes})
     with pytest.raises(errors.WeightsError):
         weights.Manifest.decode(manifest.encode())
+
+
+def test_a_suspended_stage_keeps_its_chunks_and_wakes_who_waits():
+    stage = new_stage()
+    stage.add(weights.MANIFEST_INDEX, ENCODED)
+    waiting = eventlet.spawn(stage.wait, 0)
+    eventlet.sleep(0)
+    stage.suspend()
+    assert waiting.wait() is None
+    assert stage.wait(weights.MANIFEST_INDEX) == ENCODED
+    stage.resume()
+    stage.add(0, BLOB[:1000])
+    assert stage.wait(0) == BLOB[:1000]
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -22,6 +22,7 @@
 POLL_S = 1.0
 RETRY_S = 2.0
 RETAIN_IDLE_S = 20.0
+KEEP_UNWANTED_S = 30.0
 ORIGIN_COPIES_FOR_TIME = 1.5
 
 
@@ -55,6 +56,8 @@
         self.download = download
         self.origin_client = origin.OriginClient()
         self.stages: dict[str, weights.Stage] = {}
+        self.unwanted: dict[str, weights.Stage] = {}
+        self.unwanted_since: dict[str, float] = {}
         self.manifests: dict[str, weights.Manifest] = {}
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
@@ -75,7 +78,8 @@
             revision = self.node.store.revision
             wanted = self.wanted()
             for name in [n for n in self.stages if n not in wanted]:
-                self._drop(name)
+                self._set_aside(name)
+            self._free_unwanted(KEEP_UNWANTED_S)
             for name, version in wanted.items():
                 self._start(name, version)
                 self._free_if_idle(name)
@@ -164,10 +168,22 @@
             return
         if self.gate.version == name and not self._is_seed(name):
             return
-        stage = weights.Stage(digest=ids.Digest(version.digest))
+        stage = self._stage(name, version)
         self.stages[name] = stage
         self.tasks[name] = eventlet.spawn(self._fetch, name, version, stage)
 
+    def _stage(self, name: str, version: objects.Version) -> weights.Stage:
+        """Return what was set aside of a version, or an empty stage.
+
+        What was set aside of other versions makes room.
+        """
+        kept = self.unwanted.pop(name, None)
+        self._free_unwanted(0.0)
+        if kept is not None and kept.digest == version.digest:
+            kept.resume()
+            return kept
+        return weights.Stage(digest=ids.Digest(version.digest))
+
     def _fetch(
         self, name: str, version: objects.Version, stage: weights.Stage
     ) -> None:
@@ -263,10 +279,28 @@
         return self.node.me.name in [host.name for host in seeds]
 
     def _drop(self, name: str) -> None:
+        self._stop_fetching(name)
+        self.stages.pop(name).close()
+
+    def _set_aside(self, name: str) -> None:
+        """Stop fetching; the chunks stay for a while, if wanted again."""
+        self._stop_fetching(name)
+        stage = self.stages.pop(name)
+        stage.suspend()
+        self.unwanted[name] = stage
+        self.unwanted_since[name] = time.monotonic()
+
+    def _free_unwanted(self, after_s: float) -> None:
+        """Free what has been set aside for ``after_s`` seconds."""
+        before = time.monotonic() - after_s
+        for name in list(self.unwanted):
+            if self.unwanted_since[name] <= before:
+                self.unwanted.pop(name).close()
+
+    def _stop_fetching(self, name: str) -> None:
         task = self.tasks.pop(name, None)
         if task is not None:
             task.kill()
-        self.stages.pop(name).close()
 
 
 def _source_fields(
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -14,6 +14,7 @@
 from zinniadyke import platform
 from zinniadyke.weights import _bucket
 from zinniadyke.weights import _manifest
+from zinniadyke.weights import _origin_window
 from zinniadyke.weights import _plan
 from zinniadyke.weights import _stage
 
@@ -25,8 +26,6 @@
 CHECK_INTERVAL_S = 4.0
 PENDING_TIMEOUT_S = 30.0
 ORIGIN_TRIES = 4
-ORIGIN_PAUSE_S = 0.25
-ORIGIN_PAUSE_MAX_S = 5.0
 
 
 Choose = Callable[
@@ -45,7 +44,7 @@
 
 
 class ChunkFetcher:
-    """Fills a stage; one fetcher for each version that is staged.
+    """Fills a stage, once; one fetcher for each try.
 
     Parameters
     ----------
@@ -94,6 +93,7 @@
         self.ingress = ingress or _bucket.TokenBucket()
         self.counts = SourceCounts()
         self.banned: set[ids.HostName] = set()
+        self.window = _origin_window.OriginWindow()
         self.tag = ""
 
     def run(self) -> None:
@@ -113,13 +113,15 @@
             for index in range(len(self.stage.manifest.chunks))
             if index not in self.stage.chunks
         ]
+        results = pool.imap(self._try_fetch, missing)
         try:
-            for error in pool.imap(self._try_fetch, missing):
+            for error in results:
                 if error is not None:
                     raise error
         finally:
-            for task in list(pool.coroutines_running):
-                eventlet.kill(task)
+            # The map starts its tasks in a pool of its own.
+            _kill_tasks(pool)
+            _kill_tasks(results.pool)
 
     def fetch_manifest(self) -> _manifest.Manifest:
         """Fetch only the manifest.
@@ -209,36 +211,43 @@
 
     def _from_origin(self, index: int) -> None:
         corrupt = 0
-        pause_s = ORIGIN_PAUSE_S
         while True:
-            try:
-                data = self._read_origin(index)
-                self.stage.add(index, data)
-                return
-            except errors.WeightsError as error:
-                if error.code is errors.ResultCode.CHUNK_CORRUPT:
-                    self.counts.corrupt += 1
-                    corrupt += 1
-                if error.code is errors.ResultCode.ORIGIN_CHANGED:
-                    raise
-                if corrupt >= ORIGIN_TRIES:
-                    raise
-            eventlet.sleep(pause_s)
-            pause_s = min(2 * pause_s, ORIGIN_PAUSE_MAX_S)
+            with self.window:
+                try:
+                    self._read_origin(index)
+                    self.window.note_success()
+                    return
+                except errors.WeightsError as error:
+                    if error.code is errors.ResultCode.CHUNK_CORRUPT:
+                        self.counts.corrupt += 1
+                        corrupt += 1
+                    if error.code is errors.ResultCode.ORIGIN_CHANGED:
+                        raise
+                    if corrupt >= ORIGIN_TRIES:
+                        raise
+                self.window.note_failure()
 
-    def _read_origin(self, index: int) -> bytes:
+    def _read_origin(self, index: int) -> None:
+        """Read one chunk and keep it; pins the revision it came from."""
         if index == _manifest.MANIFEST_INDEX:
             url = self.source + _manifest.MANIFEST_SUFFIX
             found = self.origin_client.read(url)
-        else:
-            start, size = self.stage.manifest.span(index)
-            self.ingress.take(size)
-            found = self.origin_client.read(
-                self.source, start=start, size=size, tag=self.tag
-            )
-            self.tag = self.tag or found.tag
+            self.counts.origin += len(found.data)
+            self.stage.add(index, found.data)
+            return
+        start, size = self.stage.manifest.span(index)
+        self.ingress.take(size)
+        found = self.origin_client.read(
+            self.source, start=start, size=size, tag=self.tag
+        )
         self.counts.origin += len(found.data)
-        return found.data
+        self.stage.add(index, found.data)
+        self.tag = self.tag or found.tag
+
+
+def _kill_tasks(pool: eventlet.GreenPool) -> None:
+    for task in list(pool.coroutines_running):
+        eventlet.kill(task)
 
 
 def _wait_pending(
--- a/zinniadyke/weights/_stage.py
+++ b/zinniadyke/weights/_stage.py
@@ -92,14 +92,22 @@
         for index in range(len(self.manifest.chunks)):
             yield self.chunks[index]
 
-    def close(self) -> None:
-        """Free the memory and wake everyone who waits."""
+    def suspend(self) -> None:
+        """Wake everyone who waits; what is held stays."""
         self.closed = True
-        self.chunks = {}
         arrivals, self.arrivals = self.arrivals, {}
         for arrival in arrivals.values():
             arrival.send()
 
+    def resume(self) -> None:
+        """Take in chunks again."""
+        self.closed = False
+
+    def close(self) -> None:
+        """Free the memory and wake everyone who waits."""
+        self.suspend()
+        self.chunks = {}
+
     def _expected(self, index: int) -> str:
         if index == _manifest.MANIFEST_INDEX:
             return self.digest
