Count turns until they are taken up; benches above capacity

A woken request had not taken its slot yet when the next release gave the slot away again, or a new request took it; the woken one went to the end of its line.

--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -102,6 +102,31 @@
     assert len(queue) == 0
 
 
+def test_a_full_line_does_not_keep_out_another_priority():
+    queue = requests.FairQueue()
+    low = eventlet.spawn(queue.wait, "w", 1, 1, 1, 10)
+    high = eventlet.spawn(queue.wait, "w", 1, 0, 1, 10)
+    eventlet.sleep(0)
+    assert queue.grant() and queue.grant()
+    low.wait(), high.wait()
+
+
+def test_a_turn_is_counted_until_it_is_taken_up():
+    queue = requests.FairQueue()
+    tasks = [
+        eventlet.spawn(queue.wait, name, 1, 1, 9, wait_s)
+        for name, wait_s in (("a", 10), ("b", 0.01))
+    ]
+    eventlet.sleep(0)
+    assert queue.grant()
+    assert queue.turns == 1
+    tasks[0].wait()
+    assert queue.turns == 0
+    with pytest.raises(errors.RequestError):
+        tasks[1].wait()
+    assert (queue.turns, len(queue)) == (0, 0)
+
+
 def test_the_retry_budget_ends():
     budget = requests.RetryBudget()
     while budget.withdraw():
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -2,6 +2,10 @@
 
 from zinniadyke.bench._bound import Bound
 from zinniadyke.bench._bound import unmet
+from zinniadyke.bench._overload import OverloadOptions
+from zinniadyke.bench._overload import OverloadResult
+from zinniadyke.bench._overload import run_ceilings
+from zinniadyke.bench._overload import run_overload
 from zinniadyke.bench._requests import OpenLoop
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
@@ -16,11 +20,15 @@
     "STRATEGIES",
     "Bound",
     "OpenLoop",
+    "OverloadOptions",
+    "OverloadResult",
     "RequestsOptions",
     "RequestsResult",
     "RolloutOptions",
     "RolloutResult",
     "fluid_bound_s",
+    "run_ceilings",
+    "run_overload",
     "run_requests",
     "run_rollout",
     "unmet",
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -70,7 +70,7 @@
         RequestError
             No target serves what is asked for, or none was free in time.
         """
-        if not len(self.queue):
+        if not len(self.queue) and self._spare_slots() > 0:
             chosen = self._choose(call, avoid)
             if chosen is not None:
                 return self._take(*chosen)
@@ -94,15 +94,19 @@
 
     def pump(self) -> None:
         """Give turns to waiting requests while slots are free."""
-        free = sum(max(x.free_slots, 0) for x in self.links.values())
-        while free > 0 and self.queue.grant():
-            free -= 1
+        while self._spare_slots() > 0 and self.queue.grant():
+            continue
 
     def close(self) -> None:
         """Stop following the targets."""
         for link in [*self.links.values(), *self.retired]:
             link.close()
 
+    def _spare_slots(self) -> int:
+        """Return the free slots that no turn has been given for."""
+        free = sum(max(x.free_slots, 0) for x in self.links.values())
+        return free - self.queue.turns
+
     def _subset(self) -> list[platform.Host]:
         hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
         if len(hosts) <= SUBSET_TARGETS:
--- a/zinniadyke/fakes/__init__.py
+++ b/zinniadyke/fakes/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniadyke.fakes._engine import expected_words
 from zinniadyke.fakes._engine import FakeEngine
+from zinniadyke.fakes._engine import WORDS_PER_ANSWER
 from zinniadyke.fakes._faults import EngineFaults
 from zinniadyke.fakes._faults import OriginFaults
 from zinniadyke.fakes._faults import PlatformFaults
@@ -10,6 +11,7 @@
 from zinniadyke.fakes._service import FakeService
 
 __all__ = [
+    "WORDS_PER_ANSWER",
     "EngineFaults",
     "FakeEngine",
     "FakeOrigin",
--- a/zinniadyke/fakes/_engine.py
+++ b/zinniadyke/fakes/_engine.py
@@ -6,6 +6,7 @@
 
 import collections
 import hashlib
+import random
 
 import eventlet
 from eventlet import tpool
@@ -35,6 +36,11 @@
         Refuse orders with a number below the highest seen.
     seconds_per_word
         Pause between two words of a stream, in seconds.
+
+    Attributes
+    ----------
+    pace_spread
+        Part by which the pace of an answer differs from the mean, at most.
     """
 
     def __init__(
@@ -48,6 +54,8 @@
         self.faults = _faults.EngineFaults()
         self.checks_fencing = checks_fencing
         self.seconds_per_word = seconds_per_word
+        self.pace_spread = 0.0
+        self.random = random.Random(0)
         self.highest_fence = 0
         self.loaded = ""
         self.digest = ""
@@ -137,7 +145,7 @@
         loaded = self.loaded
         self.running += 1
         try:
-            eventlet.sleep(self.seconds_per_word * len(words))
+            eventlet.sleep(self._word_time_s() * len(words))
         finally:
             self.running -= 1
         message = {"role": "assistant", "content": " ".join(words)}
@@ -148,17 +156,22 @@
 
     def _stream(self, words, body, request):
         loaded = self.loaded
+        pause_s = self._word_time_s()
         self.running += 1
         try:
             for number, word in enumerate(words):
                 self._fault_at(number)
-                eventlet.sleep(self.seconds_per_word)
+                eventlet.sleep(pause_s)
                 choice = {"index": 0, "delta": {"content": word + " "}}
                 yield _event(_envelope(request, body, loaded, choice))
             yield b"data: [DONE]\n\n"
         finally:
             self.running -= 1
 
+    def _word_time_s(self) -> float:
+        spread = self.random.uniform(-self.pace_spread, self.pace_spread)
+        return self.seconds_per_word * (1 + spread)
+
     def _fault_at(self, number: int) -> None:
         if number == self.faults.die_after_frames:
             _http.abort()
--- a/zinniadyke/requests/_fair_queue.py
+++ b/zinniadyke/requests/_fair_queue.py
@@ -17,12 +17,26 @@
 DRAIN_RATE_MEMORY = 0.9
 
 
-class Waiter(msgspec.Struct, kw_only=True):
-    """A request that waits for its turn."""
+class Line(msgspec.Struct, frozen=True, kw_only=True):
+    """The requests of one workspace and priority."""
 
     workspace: ids.WorkspaceName
+    priority: int
+
+
+class Waiter(msgspec.Struct, kw_only=True):
+    """A request that waits for its turn.
+
+    Attributes
+    ----------
+    granted
+        Whether it has been given its turn.
+    """
+
+    line: Line
     turn: event.Event
-    done: bool = False
+    granted: bool = False
+    gone: bool = False
 
 
 class FairQueue:
@@ -30,6 +44,11 @@
 
     The weight of a request is its workspace's share, times a factor for
     each step of priority, so no class and no workspace starves.
+
+    Attributes
+    ----------
+    turns
+        Turns that were given and not taken up yet.
     """
 
     def __init__(self) -> None:
@@ -37,8 +56,9 @@
         self.heap: list[tuple[float, int, Waiter]] = []
         self.numbers = itertools.count()
         self.virtual_time = 0.0
-        self.finish: dict[tuple[str, int], float] = {}
-        self.waiting: dict[ids.WorkspaceName, int] = {}
+        self.finish: dict[Line, float] = {}
+        self.waiting: dict[Line, int] = {}
+        self.turns = 0
         self.grant_interval_s = 0.01
         self.granted_at = 0.0
 
@@ -59,7 +79,7 @@
         Parameters
         ----------
         bound
-            Requests of the workspace that may wait here.
+            Requests of the workspace and priority that may wait here.
         timeout_s
             Longest wait, in seconds.
 
@@ -68,15 +88,16 @@
         RequestError
             The queue is full, or no turn came in time.
         """
-        if self.waiting.get(workspace, 0) >= bound:
+        line = Line(workspace=workspace, priority=max(priority, 0))
+        if self.waiting.get(line, 0) >= bound:
             raise errors.RequestError(
                 code=errors.ResultCode.QUEUE_FULL,
                 retry_after_s=self.retry_after_s(),
             )
-        waiter = Waiter(workspace=workspace, turn=event.Event())
-        start = self._start_tag(workspace, share, priority)
+        waiter = Waiter(line=line, turn=event.Event())
+        start = self._start_tag(line, share)
         heapq.heappush(self.heap, (start, next(self.numbers), waiter))
-        self.waiting[workspace] = self.waiting.get(workspace, 0) + 1
+        self.waiting[line] = self.waiting.get(line, 0) + 1
         try:
             with eventlet.Timeout(max(timeout_s, 0), False):
                 waiter.turn.wait()
@@ -86,18 +107,17 @@
                 retry_after_s=self.retry_after_s(),
             )
         finally:
-            if not waiter.done:
-                waiter.done = True
-                self._leave(workspace)
+            self._end_wait(waiter)
 
     def grant(self) -> bool:
         """Give the next request its turn; False if none waits."""
         while self.heap:
             start, _, waiter = heapq.heappop(self.heap)
-            if waiter.done:
+            if waiter.gone:
                 continue
-            waiter.done = True
-            self._leave(waiter.workspace)
+            waiter.granted = True
+            self.turns += 1
+            self._leave(waiter.line)
             self.virtual_time = max(self.virtual_time, start)
             self._note_grant()
             waiter.turn.send()
@@ -110,19 +130,24 @@
         wait_s = (len(self) + 1) * self.grant_interval_s
         return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
-    def _start_tag(
-        self, workspace: ids.WorkspaceName, share: int, priority: int
-    ) -> float:
-        weight = max(share, 1) * PRIORITY_FACTOR ** -max(priority, 0)
-        key = (workspace, priority)
-        start = max(self.virtual_time, self.finish.get(key, 0.0))
-        self.finish[key] = start + 1.0 / weight
+    def _start_tag(self, line: Line, share: int) -> float:
+        weight = max(share, 1) * PRIORITY_FACTOR**-line.priority
+        start = max(self.virtual_time, self.finish.get(line, 0.0))
+        self.finish[line] = start + 1.0 / weight
         return start
 
-    def _leave(self, workspace: ids.WorkspaceName) -> None:
-        self.waiting[workspace] -= 1
-        if not self.waiting[workspace]:
-            del self.waiting[workspace]
+    def _end_wait(self, waiter: Waiter) -> None:
+        """Note that a waiter has taken up its turn, or left."""
+        if waiter.granted:
+            self.turns -= 1
+            return
+        waiter.gone = True
+        self._leave(waiter.line)
+
+    def _leave(self, line: Line) -> None:
+        self.waiting[line] -= 1
+        if not self.waiting[line]:
+            del self.waiting[line]
 
     def _note_grant(self) -> None:
         now = time.monotonic()
--- a/zinniadyke/ui/_application.py
+++ b/zinniadyke/ui/_application.py
@@ -16,6 +16,8 @@
 COMMANDS = (
     _apply_command.ApplyCommand,
     _apply_command.PlanCommand,
+    _bench_command.BenchCeilingsCommand,
+    _bench_command.BenchOverloadCommand,
     _bench_command.BenchRequestsCommand,
     _bench_command.BenchRolloutCommand,
     _check_command.CheckCommand,
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -82,6 +82,54 @@
         return report(self, result)
 
 
+OVERLOAD_OPTIONS = [
+    option("seconds", None, "Time a load.", flag=False, default="30"),
+    option("targets", None, "Targets.", flag=False, default="4"),
+    option("seed", None, "Seed.", flag=False, default="1"),
+]
+
+
+class BenchOverloadCommand(Command):
+    """Measures classes and workspaces above a service's capacity."""
+
+    name = "bench overload"
+    description = "Measures who waits when a service is over its capacity."
+    options = OVERLOAD_OPTIONS
+
+    def handle(self) -> int:
+        """Run the command."""
+        from zinniadyke import bench
+
+        return report(self, bench.run_overload(overload_options(self)))
+
+
+class BenchCeilingsCommand(Command):
+    """Compares ceilings on the dispatch of lower classes."""
+
+    name = "bench ceilings"
+    description = "Compares ceilings on lower classes; one line a load."
+    options = OVERLOAD_OPTIONS
+
+    def handle(self) -> int:
+        """Run the command."""
+        from zinniadyke import bench
+
+        for row in bench.run_ceilings(overload_options(self)):
+            self.line(json.dumps(msgspec.to_builtins(row)))
+        return 0
+
+
+def overload_options(command: Command):
+    """Return the options of an overload bench."""
+    from zinniadyke import bench
+
+    return bench.OverloadOptions(
+        seconds=whole_number(command, "seconds"),
+        targets=whole_number(command, "targets"),
+        seed=whole_number(command, "seed"),
+    )
+
+
 def report(command: Command, result) -> int:
     """Print figures and unmet bounds; return the exit code."""
     from zinniadyke import bench
