Roll back by one command; split the stager and the overload bench

Change: 'rollback rollout NAME' declares NAME-rollback to the version before, with the next sequence; asking twice is asking once. Unwanted stages, loads, the overload fleet and the ceiling runs are modules of their own.

Measured: tests/language, test_unwanted and the agents' rollback test pass; no behaviour of the moved code changes.

--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -209,13 +209,13 @@
     assert system.wait(lambda: name in stager.stages)
     assert system.wait(lambda: stager.stages[name].size > 0)
     system.apply("cancel rollout r2")
-    assert system.wait(lambda: name in stager.unwanted)
-    size = stager.unwanted[name].size
+    assert system.wait(lambda: name in stager.unwanted.stages)
+    size = stager.unwanted.stages[name].size
     assert size > 0
     eventlet.sleep(0.5)
-    assert stager.unwanted[name].size == size
+    assert stager.unwanted.stages[name].size == size
     monkeypatch.setattr("zinniadyke.agent._stager.KEEP_UNWANTED_S", 0.1)
-    assert system.wait(lambda: not stager.unwanted)
+    assert system.wait(lambda: not stager.unwanted.stages)
 
 
 def test_what_was_set_aside_makes_room_for_another_version(system):
@@ -229,4 +229,14 @@
         )
         name = f"drafting/{number}"
         assert system.wait(lambda n=name: n in stager.stages)
-        assert not stager.unwanted
+        assert not stager.unwanted.stages
+
+
+def test_a_rollback_brings_the_former_version_back(system):
+    cluster = system.cluster
+    release = cluster.release("2", 8192, 1024)
+    system.apply(release.declaration + cluster.rollout("2", 2))
+    assert system.wait(lambda: len(cluster.serving("2")) == 2)
+    system.apply("rollback rollout r2")
+    assert system.wait(lambda: len(cluster.serving("1")) == 2)
+    assert system.ask() == ""
--- a/zinniadyke/agent/_stager.py
+++ b/zinniadyke/agent/_stager.py
@@ -7,6 +7,7 @@
 from eventlet import event
 
 from zinniadyke.agent import _gate
+from zinniadyke.agent import _unwanted
 from zinniadyke import control
 from zinniadyke import errors
 from zinniadyke import ids
@@ -56,8 +57,7 @@
         self.download = download
         self.origin_client = origin.OriginClient()
         self.stages: dict[str, weights.Stage] = {}
-        self.unwanted: dict[str, weights.Stage] = {}
-        self.unwanted_since: dict[str, float] = {}
+        self.unwanted = _unwanted.UnwantedStages()
         self.manifests: dict[str, weights.Manifest] = {}
         self.fetchers: dict[str, weights.ChunkFetcher] = {}
         self.tasks: dict[str, eventlet.greenthread.GreenThread] = {}
@@ -79,7 +79,7 @@
             wanted = self.wanted()
             for name in [n for n in self.stages if n not in wanted]:
                 self._set_aside(name)
-            self._free_unwanted(KEEP_UNWANTED_S)
+            self.unwanted.free(KEEP_UNWANTED_S)
             for name, version in wanted.items():
                 self._start(name, version)
                 self._free_if_idle(name)
@@ -177,12 +177,9 @@
 
         What was set aside of other versions makes room.
         """
-        kept = self.unwanted.pop(name, None)
-        self._free_unwanted(0.0)
-        if kept is not None and kept.digest == version.digest:
-            kept.resume()
-            return kept
-        return weights.Stage(digest=ids.Digest(version.digest))
+        kept = self.unwanted.take(name, version.digest)
+        self.unwanted.free(0.0)
+        return kept or weights.Stage(digest=ids.Digest(version.digest))
 
     def _fetch(
         self, name: str, version: objects.Version, stage: weights.Stage
@@ -285,17 +282,7 @@
     def _set_aside(self, name: str) -> None:
         """Stop fetching; the chunks stay for a while, if wanted again."""
         self._stop_fetching(name)
-        stage = self.stages.pop(name)
-        stage.suspend()
-        self.unwanted[name] = stage
-        self.unwanted_since[name] = time.monotonic()
-
-    def _free_unwanted(self, after_s: float) -> None:
-        """Free what has been set aside for ``after_s`` seconds."""
-        before = time.monotonic() - after_s
-        for name in list(self.unwanted):
-            if self.unwanted_since[name] <= before:
-                self.unwanted.pop(name).close()
+        self.unwanted.keep(name, self.stages.pop(name))
 
     def _stop_fetching(self, name: str) -> None:
         task = self.tasks.pop(name, None)
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -2,10 +2,10 @@
 
 from zinniadyke.bench._bound import Bound
 from zinniadyke.bench._bound import unmet
-from zinniadyke.bench._overload import OverloadOptions
+from zinniadyke.bench._ceiling_runs import run_ceilings
 from zinniadyke.bench._overload import OverloadResult
-from zinniadyke.bench._overload import run_ceilings
 from zinniadyke.bench._overload import run_overload
+from zinniadyke.bench._overload_fleet import OverloadOptions
 from zinniadyke.bench._requests import OpenLoop
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
--- a/zinniadyke/language/_statements.py
+++ b/zinniadyke/language/_statements.py
@@ -14,6 +14,7 @@
     PAUSE = "pause"
     RESUME = "resume"
     CANCEL = "cancel"
+    ROLLBACK = "rollback"
     DRAIN = "drain"
     RESTORE = "restore"
 
--- a/zinniadyke/language/_to_changes.py
+++ b/zinniadyke/language/_to_changes.py
@@ -8,6 +8,7 @@
 from zinniadyke import control
 from zinniadyke import errors
 from zinniadyke.language import _parser
+from zinniadyke.language import _rollback
 from zinniadyke.language import _statements
 from zinniadyke.language import _values
 from zinniadyke import objects
@@ -57,16 +58,32 @@
     if isinstance(statement, _statements.Delete):
         return control.Change(key=statement.key, value=None)
     if isinstance(statement, _statements.Command):
-        value = present.objects.get(statement.key)
-        for change in before:
-            if change.key == statement.key:
-                value = change.value
-        return control.Change(
-            key=statement.key, value=_command(statement, value)
-        )
+        return _command_change(statement, _with_changes(present, before))
     raise errors.DeclarationError("a query cannot be applied")
 
 
+def _with_changes(
+    present: objects.Configuration, changes: list[control.Change]
+) -> objects.Configuration:
+    """Return the configuration after the statements before."""
+    found = dict(present.objects)
+    for change in changes:
+        found[change.key] = change.value
+    kept = {key: value for key, value in found.items() if value is not None}
+    return objects.Configuration(revision=present.revision, objects=kept)
+
+
+def _command_change(
+    statement: _statements.Command, configuration: objects.Configuration
+) -> control.Change:
+    key = statement.key
+    if (key.kind, statement.verb) == ("rollout", _statements.Verb.ROLLBACK):
+        made, value = _rollback.rollback(configuration, key.name)
+        return control.Change(key=made, value=value)
+    value = _command(statement, configuration.objects.get(key))
+    return control.Change(key=key, value=value)
+
+
 def _command(
     statement: _statements.Command, value: msgspec.Struct | None
 ) -> msgspec.Struct:
--- a/zinniadyke/objects/_rollout.py
+++ b/zinniadyke/objects/_rollout.py
@@ -10,7 +10,7 @@
 class Favour(enum.Enum):
     """What a rollout gives weight to.
 
-    ORIGIN reads one copy from the origin. TIME reads up to four.
+    ORIGIN reads one copy from the origin. TIME reads one and a half.
     """
 
     ORIGIN = "origin"
