Controller decides on one typed view of a rollout

Change: RolloutView holds rollout, hosts and statuses of a tick; what a status proves about a permit is in _target_state. No behaviour changes.

--- a/zinniadyke/control/_rollouts.py
+++ b/zinniadyke/control/_rollouts.py
@@ -9,6 +9,8 @@
 from zinniadyke.control import _node
 from zinniadyke.control import _permits
 from zinniadyke.control import _progress
+from zinniadyke.control import _rollout_view
+from zinniadyke.control import _target_state
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import objects
@@ -92,13 +94,16 @@
         current = self.node.configuration.current_rollout(model)
         if current is None:
             return False
-        key, rollout = current
-        name = f"{model}/{rollout.version}"
         hosts = self.node.hosts(platform.HostRole.TARGET, self.service)
-        statuses = self._statuses(hosts)
-        progress = self._measure(key, rollout, name, hosts, statuses)
-        if rollout.state is objects.RolloutState.RUNNING:
-            self._advance(rollout, name, hosts, statuses, progress)
+        view = _rollout_view.RolloutView(
+            key=current[0],
+            rollout=current[1],
+            hosts=hosts,
+            statuses=self._statuses(hosts),
+        )
+        progress = self._measure(view)
+        if view.rollout.state is objects.RolloutState.RUNNING:
+            self._advance(view, progress)
         self._report(progress)
         return not progress.complete
 
@@ -119,64 +124,60 @@
         return status
 
     def _measure(
-        self, key, rollout, name, hosts, statuses
+        self, view: _rollout_view.RolloutView
     ) -> _progress.RolloutProgress:
-        began = self.began.setdefault(key.name, time.monotonic())
-        serving = [s for s in statuses.values() if serves(s, name)]
-        wanted = wanted_count(rollout, hosts)
+        began = self.began.setdefault(view.key.name, time.monotonic())
         return _progress.RolloutProgress(
-            rollout=key.name,
-            model=rollout.model,
-            version=rollout.version,
-            state=rollout.state.value,
-            total=len(hosts),
-            staged=sum(1 for s in statuses.values() if name in s.staged),
-            serving=len(serving),
-            down=len(down_hosts(hosts, statuses)),
-            floor=rollout.floor,
-            complete=bool(hosts) and len(serving) >= wanted,
+            rollout=view.key.name,
+            model=view.rollout.model,
+            version=view.rollout.version,
+            state=view.rollout.state.value,
+            total=len(view.hosts),
+            staged=view.staged,
+            serving=view.serving,
+            down=len(view.down),
+            floor=view.rollout.floor,
+            complete=bool(view.hosts) and view.serving >= view.wanted,
             waiting={
-                s.host: s.waiting for s in statuses.values() if s.waiting
+                s.host: s.waiting for s in view.statuses.values() if s.waiting
             },
             elapsed_s=time.monotonic() - began,
             fence=self.lease.fence,
         )
 
-    def _advance(self, rollout, name, hosts, statuses, progress) -> None:
-        held = self.node.configuration.is_held(rollout.model)
-        ready = [
-            status
-            for status in statuses.values()
-            if name in status.staged and may_swap(status, name, held)
-        ]
-        # Those that do not serve come first; they cost no replica.
-        ready.sort(key=is_serving)
-        room = max(wanted_count(rollout, hosts) - progress.serving, 0)
+    def _advance(
+        self,
+        view: _rollout_view.RolloutView,
+        progress: _progress.RolloutProgress,
+    ) -> None:
+        held = self.node.configuration.is_held(view.rollout.model)
+        room = max(view.wanted - view.serving, 0)
         chosen = {
             status.host: _permits.Permit(
-                incarnation=status.incarnation, version=name
+                incarnation=status.incarnation, version=view.version
             )
-            for status in ready[:room]
+            for status in view.ready(held)[:room]
         }
         permits = self.book.step(
             wanted=chosen,
             is_done=lambda host, permit: self._is_done(
-                statuses.get(host), permit, name
+                view.statuses.get(host), permit, view.version
             ),
-            known={host.name for host in hosts},
-            down=down_hosts(hosts, statuses),
-            floor=min(rollout.floor, max(len(hosts) - 1, 0)),
+            known={host.name for host in view.hosts},
+            down=view.down,
+            floor=view.floor,
             fence=self.lease.fence,
         )
         if permits.fence > self.lease.fence or not self.lease.held:
             return
-        for host, permit in chosen.items():
-            status = statuses[host]
-            if not is_serving(status) or permits.out.get(host) == permit:
-                self._order(status, name, hosts)
+        for name, permit in chosen.items():
+            status = view.statuses[name]
+            serving = _target_state.is_serving(status)
+            if not serving or permits.out.get(name) == permit:
+                self._order(view, status)
             elif not status.waiting:
                 code = errors.ResultCode.WAITING_FLOOR.number
-                progress.waiting[host] = code
+                progress.waiting[name] = code
 
     def _is_done(
         self,
@@ -189,24 +190,19 @@
         A host that is gone keeps its permit until it is back: it is out of
         service either way.
         """
-        if status is None or not is_serving(status):
-            return False
-        if status.host in self.ordered:
+        if status is None or status.host in self.ordered:
             return False
-        loaded = status.version == permit.version
-        restarted = status.incarnation != permit.incarnation
-        knows_rollout = status.revision >= self.node.store.revision
-        superseded = permit.version != name and knows_rollout
-        return loaded or restarted or superseded
+        revision = self.node.store.revision
+        return _target_state.has_used(status, permit, name, revision)
 
     def _order(
-        self, status: peers.Status, name: str, hosts: list[platform.Host]
+        self, view: _rollout_view.RolloutView, status: peers.Status
     ) -> None:
         if status.host in self.ordered:
             return
-        host = next(h for h in hosts if h.name == status.host)
+        host = next(h for h in view.hosts if h.name == status.host)
         order = peers.Activate(
-            version=name,
+            version=view.version,
             fence=self.lease.fence,
             incarnation=status.incarnation,
         )
@@ -242,38 +238,3 @@
 def lease_key(service: str) -> str:
     """Return the key of the lease on a service's rollouts."""
     return f"rollouts/{service}"
-
-
-def is_serving(status: peers.Status) -> bool:
-    """Return whether the agent lets requests through."""
-    return status.gate is peers.GateState.SERVING
-
-
-def serves(status: peers.Status, name: str) -> bool:
-    """Return whether the agent lets requests through to ``name``."""
-    return is_serving(status) and status.version == name
-
-
-def may_swap(status: peers.Status, name: str, held: bool) -> bool:
-    """Return whether a target may be told to serve ``name``."""
-    if held and is_serving(status):
-        return False
-    return not serves(status, name)
-
-
-def wanted_count(rollout: objects.Rollout, hosts: list) -> int:
-    """Return how many targets the rollout wants."""
-    if rollout.replicas <= 0:
-        return len(hosts)
-    return min(rollout.replicas, len(hosts))
-
-
-def down_hosts(
-    hosts: list[platform.Host], statuses: dict[str, peers.Status]
-) -> set[str]:
-    """Return the hosts that do not serve anything."""
-    return {
-        host.name
-        for host in hosts
-        if host.name not in statuses or not is_serving(statuses[host.name])
-    }
