--- a/zinniadyke/objects/_limit.py
+++ b/zinniadyke/objects/_limit.py
@@ -18,7 +18,7 @@
     concurrency
         Requests in progress; 0 for no limit.
     queue
-        Requests that may wait at one entry.
+        Requests of one priority that may wait at one entry.
     """
 
     rate: float = 0.0
