Share what the benches and tests had twice; sum slots once a pump

Cause: last read of the change. bench overload built its one-entry deployment, its wait and its open loop again beside bench requests; two benchmarks waited for an entry alike; two tests had the same clock; pump summed the slots of all links again for each turn it gave.

Change: bench/_one_entry (build_cluster, declare, arrivals), processes.wait_answering, tests/clock.py; pump sums once and counts down, which is the same, since nothing else runs in between. No assertion, bound or figure changes.

Left alone: constructors that only hold their parts, and the small deployments of four test modules, which differ in most fields.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -5,7 +5,11 @@
 import socket
 import subprocess
 import sys
+import time
 
+import urllib3
+
+POLL_S = 0.1
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 ENTRY = """
 [platform]
@@ -88,6 +92,18 @@
             process.wait()
 
 
+def wait_answering(url: str, limit_s: float) -> None:
+    """Wait until an entry answers, for ``limit_s`` seconds at most."""
+    pool = urllib3.PoolManager(retries=False)
+    deadline = time.monotonic() + limit_s
+    while time.monotonic() < deadline:
+        try:
+            pool.request("GET", url + "/healthz")
+            return
+        except urllib3.exceptions.HTTPError:
+            time.sleep(POLL_S)
+
+
 def cpu_s(pid: int) -> float:
     """Return a process's processor time, in seconds."""
     try:
--- a/benchmarks/request_latency.py
+++ b/benchmarks/request_latency.py
@@ -116,14 +116,7 @@
         self._roll_out(origin, targets)
 
     def _roll_out(self, origin: str, targets: int) -> None:
-        pool = urllib3.PoolManager(retries=False)
-        deadline = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < deadline:
-            try:
-                pool.request("GET", self.url + "/healthz")
-                break
-            except urllib3.exceptions.HTTPError:
-                eventlet.sleep(0.1)
+        processes.wait_answering(self.url, START_LIMIT_S)
         blob = random.Random(SEED).randbytes(MIB)
         encoded = weights.build_manifest(blob, MIB).encode()
         text = FLEET.format(
--- a/benchmarks/rollout_processes.py
+++ b/benchmarks/rollout_processes.py
@@ -21,7 +21,6 @@
 
 import eventlet
 import processes
-import urllib3
 
 from zinniadyke import bench
 from zinniadyke import operators
@@ -134,14 +133,8 @@
 
     def prepare(self) -> operators.OperatorClient:
         """Declare the version and wait until every agent knows it."""
-        pool = urllib3.PoolManager(retries=False)
         deadline = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < deadline:
-            try:
-                pool.request("GET", self.url + "/healthz")
-                break
-            except urllib3.exceptions.HTTPError:
-                eventlet.sleep(0.2)
+        processes.wait_answering(self.url, START_LIMIT_S)
         blob = random.Random(SEED).randbytes(self.options.size * MIB)
         manifest = weights.build_manifest(blob, self.options.chunk * KIB)
         digest = hashlib.sha256(manifest.encode()).hexdigest()
--- a/tests/control/test_lease.py
+++ b/tests/control/test_lease.py
@@ -2,23 +2,15 @@
 
 import pytest
 
+from tests import clock as clocks
 from zinniadyke.control import _lease
 from zinniadyke import fakes
 from zinniadyke import platform
 
 
-class Clock:
-    """A monotonic clock that the test moves."""
-
-    now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def clock(monkeypatch):
-    made = Clock()
+    made = clocks.Clock()
     monkeypatch.setattr(_lease, "time", made)
     return made
 
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -3,22 +3,16 @@
 import eventlet
 import pytest
 
+from tests import clock as clocks
 from zinniadyke import errors
 from zinniadyke import objects
 from zinniadyke import requests
 from zinniadyke.requests import _limiter
 
 
-class Clock:
-    now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def clock(monkeypatch):
-    made = Clock()
+    made = clocks.Clock()
     monkeypatch.setattr(_limiter, "time", made)
     return made
 
--- a/zinniadyke/bench/_load.py
+++ b/zinniadyke/bench/_load.py
@@ -1,5 +1,6 @@
 """One open-loop load of several streams, and what came of it."""
 
+import collections
 import json
 import random
 import time
@@ -9,6 +10,7 @@
 import msgspec
 import urllib3
 
+from zinniadyke.bench import _one_entry
 from zinniadyke import demo
 from zinniadyke import requests
 
@@ -65,7 +67,7 @@
         self.histograms = requests.Histograms()
         self.tasks = eventlet.GreenPool(4000)
         self.sent = self.done = self.failed = 0
-        self.refused = {}
+        self.refused: collections.Counter = collections.Counter()
         self.end = 0.0
 
     def run(self, streams: list[Stream], seconds: float) -> LoadResult:
@@ -82,18 +84,18 @@
             p99_ms={
                 row["class"]: row["p99_ms"] for row in self.histograms.rows()
             },
-            refused=self.refused,
+            refused=dict(self.refused),
             failed=self.failed,
         )
 
     def _loop(self, stream: Stream) -> None:
         rate = stream.load * self.capacity_per_s
-        due = time.monotonic() + self.random.expovariate(rate)
-        while due < self.end:
-            eventlet.sleep(max(0.0, due - time.monotonic()))
+        begun = time.monotonic()
+        for due in _one_entry.arrivals(rate, begun, self.random):
+            if due >= self.end:
+                break
             self.sent += 1
             self.tasks.spawn_n(self._call, stream, due)
-            due += self.random.expovariate(rate)
 
     def _call(self, stream: Stream, due: float) -> None:
         headers = {
@@ -116,7 +118,6 @@
             self.done += now <= self.end
             self.histograms.record("bench", stream.label, now - due)
         elif answer.headers.get("Zinniadyke-Ran") == "not run":
-            seen = self.refused.get(stream.label, 0)
-            self.refused[stream.label] = seen + 1
+            self.refused[stream.label] += 1
         else:
             self.failed += 1
--- a/zinniadyke/bench/_overload_fleet.py
+++ b/zinniadyke/bench/_overload_fleet.py
@@ -1,14 +1,12 @@
 """A small fleet that takes one load after another."""
 
-import eventlet
-
 import msgspec
 
 from zinniadyke.bench import _load
+from zinniadyke.bench import _one_entry
 from zinniadyke import demo
 from zinniadyke import entry
 from zinniadyke import fakes
-from zinniadyke import objects
 from zinniadyke import requests
 
 KIB = 1024
@@ -17,7 +15,6 @@
 # With equal times the slots come free in clumps, as no engine's do.
 PACE_SPREAD = 0.5
 WORKSPACES = 5
-POLL_S = 0.02
 CRITICAL, STANDARD, BACKGROUND = "critical", "standard", "background"
 TWO_CLASSES = {CRITICAL: 0.3, STANDARD: 0.7}
 THREE_CLASSES = {CRITICAL: 0.3, STANDARD: 0.4, BACKGROUND: 0.3}
@@ -66,7 +63,12 @@
     def __init__(self, *, options: OverloadOptions) -> None:
         """Start the fleet."""
         self.options = options
-        self.cluster = _cluster(options)
+        self.cluster = _one_entry.build_cluster(
+            targets=options.targets,
+            classes=list(THREE_CLASSES),
+            checks_fencing=True,
+            seed=options.seed,
+        )
         self.capacity_per_s = options.targets * SLOTS / SERVICE_S
         _prepare(self.cluster)
 
@@ -99,25 +101,6 @@
     ]
 
 
-def _cluster(options: OverloadOptions) -> demo.Cluster:
-    deployment = demo.Deployment(
-        name="bench",
-        region="egypt",
-        zones=["cairo"],
-        model="drafting",
-        model_service=demo.ServiceSpec(
-            name="drafting", targets=options.targets
-        ),
-        plain_services=[],
-        classes=list(THREE_CLASSES),
-        checks_fencing=True,
-        favour=objects.Favour.ORIGIN,
-        floor=0,
-        entries=1,
-    )
-    return demo.Cluster(deployment=deployment, seed=options.seed)
-
-
 def _prepare(cluster: demo.Cluster) -> None:
     for engine in cluster.engines.values():
         engine.seconds_per_word = SERVICE_S / fakes.WORDS_PER_ANSWER
@@ -129,6 +112,4 @@
     for name in names:
         token = requests.hash_token(demo.demo_token(name))
         text += WORKSPACE.format(name=name, token=token)
-    cluster.operator().send("apply", text)
-    while not cluster.sees_all(cluster.entries[0]):
-        eventlet.sleep(POLL_S)
+    _one_entry.declare(cluster, text)
--- a/zinniadyke/bench/_requests.py
+++ b/zinniadyke/bench/_requests.py
@@ -10,14 +10,13 @@
 import urllib3
 
 from zinniadyke.bench import _bound
+from zinniadyke.bench import _one_entry
 from zinniadyke import demo
-from zinniadyke import objects
 from zinniadyke import requests
 
 KIB = 1024
 MAX_ADDED_P50_MS = 5.0
 MAX_ADDED_P99_MS = 20.0
-POLL_S = 0.02
 CALL_TIMEOUT_S = 30.0
 PROMPT = {"model": "drafting", "prompt": "a claim"}
 FLEET = """
@@ -87,11 +86,11 @@
     def run(self, seconds: float) -> None:
         """Send for a time, then wait for what is in progress."""
         end = time.monotonic() + seconds
-        due = time.monotonic()
-        while due < end:
-            due += self.random.expovariate(self.rate)
-            eventlet.sleep(max(0.0, due - time.monotonic()))
+        begun = time.monotonic()
+        for due in _one_entry.arrivals(self.rate, begun, self.random):
             self.tasks.spawn_n(self._one, due)
+            if due >= end:
+                break
         self.tasks.waitall()
 
     def _one(self, due: float) -> None:
@@ -105,22 +104,12 @@
 
 def run_requests(options: RequestsOptions) -> RequestsResult:
     """Measure requests through one entry and direct calls in one run."""
-    deployment = demo.Deployment(
-        name="bench",
-        region="egypt",
-        zones=["cairo"],
-        model="drafting",
-        model_service=demo.ServiceSpec(
-            name="drafting", targets=options.targets
-        ),
-        plain_services=[],
+    cluster = _one_entry.build_cluster(
+        targets=options.targets,
         classes=["clerk"],
         checks_fencing=options.checks_fencing,
-        favour=objects.Favour.ORIGIN,
-        floor=0,
-        entries=1,
+        seed=options.seed,
     )
-    cluster = demo.Cluster(deployment=deployment, seed=options.seed)
     try:
         _prepare(cluster, options)
         return _measure(cluster, options)
@@ -136,9 +125,7 @@
     if options.checks_fencing:
         text = text.replace("slots", "checks_fencing = true slots")
     text += release.declaration + cluster.rollout("1", 1)
-    cluster.operator().send("apply", text)
-    while not cluster.sees_all(cluster.entries[0]):
-        eventlet.sleep(POLL_S)
+    _one_entry.declare(cluster, text)
 
 
 def _measure(cluster, options: RequestsOptions) -> RequestsResult:
--- a/zinniadyke/entry/_pool.py
+++ b/zinniadyke/entry/_pool.py
@@ -94,8 +94,9 @@
 
     def pump(self) -> None:
         """Give turns to waiting requests while slots are free."""
-        while self._spare_slots() > 0 and self.queue.grant():
-            continue
+        spare = self._spare_slots()
+        while spare > 0 and self.queue.grant():
+            spare -= 1
 
     def close(self) -> None:
         """Stop following the targets."""
