--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -240,3 +240,17 @@
     system.apply("rollback rollout r2")
     assert system.wait(lambda: len(cluster.serving("1")) == 2)
     assert system.ask() == ""
+
+
+def test_an_agent_that_shuts_down_lets_its_work_end(system):
+    cluster = system.cluster
+    engine = cluster.engines["drafting-1"]
+    engine.seconds_per_word = 0.1
+    running = [eventlet.spawn(system.ask) for _ in range(6)]
+    assert system.wait(lambda: engine.running > 0)
+    engines = list(cluster.engines.values())
+    agent = cluster.agents.pop("drafting-1")
+    assert agent.shut_down()
+    assert [task.wait() for task in running] == [""] * 6
+    # None was cut off and run again at the other target.
+    assert sum(sum(e.runs.values()) for e in engines) == 6
