Bring weights on the users' platform: agents fetch, check, stage and order

Change: package sidecar: one first reader for each piece, one relay for each other region, read-back before the order, load reports to entries.

--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -11,8 +11,8 @@
 LOG = logging.getLogger(__name__)
 
 # A watch is renewed this often, so that a connection which has gone silent
-# is noticed within the bounds of drain and configuration (2 s).
-WATCH_WAIT_S = 1.0
+# is noticed within the time (3 s) after which the bounds hold again.
+WATCH_WAIT_S = 2.0
 # Pause after a failed call; doubles up to the second figure.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.4
@@ -88,6 +88,11 @@
                 eventlet.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
+    def relist(self) -> None:
+        """Read the whole list now."""
+        self.revision = None
+        self.step()
+
     def step(self) -> None:
         """Read the list, or wait for the next changes."""
         if self.revision is None:
@@ -141,8 +146,8 @@
             LOG.info("store regained", extra={"kind": self.name})
 
     def _note_lost(self, error: errors.PlatformError) -> None:
-        # A watch may have missed changes on a connection that broke; the
-        # revision tells the store where to go on, so nothing is skipped.
+        # A list answers sooner than a watch, which may also be cut off.
+        self.revision = None
         if not self.lost:
             self.lost = True
             LOG.warning(
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from zinniadyke.gateway import _request
 from zinniadyke import listening
 from zinniadyke import platform
+from zinniadyke.platform import headers
 from zinniadyke import settings
 
 LOG = logging.getLogger(__name__)
@@ -179,22 +180,22 @@
         caller: _caller.Caller,
         error: errors.RequestError,
     ) -> None:
-        headers = [
+        fields = [
             (b"content-type", b"text/plain"),
             (b"zinniadyke-code", b"%d" % error.code.number),
         ]
-        request_id = request.header(platform.headers.REQUEST_ID)
+        request_id = request.header(headers.REQUEST_ID)
         if request_id:
-            headers.append(
+            fields.append(
                 (
-                    platform.headers.REQUEST_ID.encode(),
+                    headers.REQUEST_ID.encode(),
                     request_id.encode("latin-1"),
                 )
             )
         if error.retry_after_s is not None:
-            headers.append((b"retry-after", b"%.3f" % error.retry_after_s))
+            fields.append((b"retry-after", b"%.3f" % error.retry_after_s))
         caller.send_whole(
-            error.code.status, headers, error.message.encode() + b"\n"
+            error.code.status, fields, error.message.encode() + b"\n"
         )
 
     def _log_request(
@@ -204,7 +205,7 @@
         code: errors.ResultCode,
     ) -> None:
         fields = {
-            "request": request.header(platform.headers.REQUEST_ID),
+            "request": request.header(headers.REQUEST_ID),
             "code": code.number,
             "result": code.name,
             "ms": math.ceil((time.monotonic() - request.arrived_at) * 1000),
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -4,7 +4,6 @@
 import logging
 import socket
 
-import eventlet
 from eventlet.green import socket as green_socket
 
 from zinniadyke import directory
@@ -40,26 +39,37 @@
         on_report: Callable[[], None],
     ) -> None:
         """Bind the socket."""
-        self.hello = reports.encode(reports.Subscribe(entry=name))
+        self.name = name
         self.port = port
         self.view = view
         self.book = book
         self.on_report = on_report
         self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((ip, port))
+        self.named = directory.Signal()
+        self.told: dict = {}
+        view.on_change.append(self._note_change)
 
     def subscribe(self) -> None:
         """Ask all agents for reports, for ever."""
         while True:
+            hello = reports.encode(
+                reports.Subscribe(entry=self.name, named=self.view.named)
+            )
             for host_ip in self._agent_hosts():
                 try:
-                    self.sock.sendto(self.hello, (host_ip, self.port))
+                    self.sock.sendto(hello, (host_ip, self.port))
                 except OSError as error:
                     LOG.debug(
                         "agent not asked",
                         extra={"host": host_ip, "reason": str(error)},
                     )
-            eventlet.sleep(SUBSCRIBE_S)
+            self.named.wait(SUBSCRIBE_S)
+
+    def _note_change(self) -> None:
+        if self.view.named != self.told:
+            self.told = dict(self.view.named)
+            self.named.send()
 
     def receive(self) -> None:
         """Take in reports, for ever."""
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -1,6 +1,5 @@
 """Client of the platform: objects, conditional updates, watches, hosts."""
 
-from zinniadyke.platform import headers
 from zinniadyke.platform._client import PlatformClient
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_targets
@@ -11,13 +10,21 @@
 from zinniadyke.platform._records import HostState
 from zinniadyke.platform._records import StoredObject
 from zinniadyke.platform._store import StoreClient
+from zinniadyke.platform._target_api import EngineReport
+from zinniadyke.platform._target_api import ManifestAnswer
+from zinniadyke.platform._target_api import ModelServerClient
+from zinniadyke.platform._target_api import OriginClient
 from zinniadyke.platform._update import update
 from zinniadyke.platform._update import write_settled
 
 __all__ = [
+    "EngineReport",
     "Host",
     "HostRole",
     "HostState",
+    "ManifestAnswer",
+    "ModelServerClient",
+    "OriginClient",
     "PlatformClient",
     "Purpose",
     "StoreClient",
@@ -25,7 +32,6 @@
     "follow_configuration",
     "follow_targets",
     "follow_versions",
-    "headers",
     "update",
     "write_settled",
 ]
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -7,13 +7,16 @@
 from zinniadyke.platform import _store
 
 
-class _HeldModel(msgspec.Struct):
+class HeldModel(msgspec.Struct):
+    """A model that a target holds, as it writes it."""
+
     name: str
     version: int = 0
 
 
-class _HeldLayers(msgspec.Struct, rename={"start": "from"}):
-    # A range of layers; `target` is the end of the range, exclusive.
+class HeldLayers(msgspec.Struct, rename={"start": "from"}):
+    """The layers that a target holds; `target` is their exclusive end."""
+
     start: int
     target: int
     version: int
@@ -27,8 +30,8 @@
     state: str
     slots: int = 0
     born: int = 0
-    models: list[_HeldModel] = []
-    layers: _HeldLayers | None = None
+    models: list[HeldModel] = []
+    layers: HeldLayers | None = None
 
 
 class _NamedVersion(msgspec.Struct):
@@ -79,8 +82,8 @@
 
 
 def whole_versions(
-    models: list[_HeldModel],
-    held: _HeldLayers | None,
+    models: list[HeldModel],
+    held: HeldLayers | None,
     layer_count: int,
 ) -> dict[ids.ModelName, ids.WeightsVersion]:
     """Return the version of each model that is held with all layers."""
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -19,7 +19,7 @@
 # Longest wait for an answer; a slow store takes some 0.3 s.
 CALL_TIMEOUT_S = 1.5
 # What a watch may take beyond the time that it was told to wait.
-WATCH_SLACK_S = 0.8
+WATCH_SLACK_S = 0.6
 MS_PER_S = 1000
 
 
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -11,9 +11,16 @@
 class Subscribe(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=1
 ):
-    """An entry wants an agent's reports for the next seconds."""
+    """An entry wants an agent's reports for the next seconds.
+
+    Attributes
+    ----------
+    named
+        Version of each model's weights that operators name.
+    """
 
     entry: str
+    named: dict[str, int]
 
 
 class LoadReport(
--- /dev/null
+++ b/zinniadyke/sidecar/_bring.py
@@ -0,0 +1,221 @@
+"""Brings one version of a model's weights to the target."""
+
+from collections.abc import Callable
+import collections
+import http
+import logging
+import time
+
+import eventlet
+from eventlet import greenpool
+import urllib3
+
+from zinniadyke import directory
+from zinniadyke import errors
+from zinniadyke import ids
+from zinniadyke import platform
+from zinniadyke.sidecar import _pieces
+from zinniadyke.sidecar import _sources
+
+LOG = logging.getLogger(__name__)
+
+# Pieces that are asked for at once.
+FETCHES_AT_ONCE = 4
+PEER_CONNECT_S = 0.3
+# A piece takes some 70 ms on a free link; a waiting answer comes first.
+PEER_READ_S = 1.6
+PEER_WAIT_S = 0.8
+# A peer that did not answer is left alone for this long.
+PEER_REST_S = 3.0
+RETRY_S = 0.1
+# Rounds of reading back and mending what lies at the target.
+MAX_CHECKS = 5
+
+
+class SupersededError(errors.WeightsError):
+    """Another version is wanted by now."""
+
+
+class Bringer:
+    """Fetches, checks and stages one version.
+
+    Parameters
+    ----------
+    wanted
+        Returns the version that is wanted now.
+    peers
+        Returns all agents of the service, this one too, in a shared order.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: platform.ModelServerClient,
+        origin: platform.OriginClient,
+        store: _pieces.PieceStore,
+        me_ip: str,
+        port: int,
+        peers: Callable[[], list[_sources.Peer]],
+        wanted: Callable[[], ids.WeightsVersion],
+        pools: dict[str, urllib3.HTTPConnectionPool],
+    ) -> None:
+        """Start with what the store holds."""
+        self.target = target
+        self.origin = origin
+        self.store = store
+        self.me_ip = me_ip
+        self.port = port
+        self.peers = peers
+        self.wanted = wanted
+        self.pools = pools
+        self.rested: dict[str, float] = {}
+        self.from_origin = 0
+        self.from_peers = 0
+
+    def fetch(self) -> None:
+        """Fetch all missing pieces and stage them.
+
+        Raises
+        ------
+        SupersededError
+            Another version is wanted.
+        """
+        peers = self.peers()
+        me = self._me(peers)
+        missing = set(self.store.missing)
+        ordered = _sources.order(len(self.store.digests), me, peers)
+        todo = collections.deque(i for i in ordered if i in missing)
+        pool = greenpool.GreenPool(FETCHES_AT_ONCE)
+        for _ in range(FETCHES_AT_ONCE):
+            pool.spawn_n(self._work, todo, me, peers)
+        pool.waitall()
+        self._check_wanted()
+
+    def verify(self) -> None:
+        """Read back what lies at the target and mend it from here.
+
+        Raises
+        ------
+        WeightsError
+            Pieces keep being spoilt.
+        """
+        for _ in range(MAX_CHECKS):
+            spoilt = [
+                index
+                for index in range(len(self.store.digests))
+                if not self.store.matches(
+                    index, self.target.read_piece(self.store.model, index)
+                )
+            ]
+            if not spoilt:
+                return
+            LOG.info(
+                "staged pieces spoilt or absent",
+                extra={
+                    "version": self.store.version,
+                    "pieces": len(spoilt),
+                },
+            )
+            for index in spoilt:
+                self.target.stage_piece(
+                    self.store.model, index, self.store.pieces[index]
+                )
+        raise errors.WeightsError(code=errors.ResultCode.CHUNK_CORRUPT)
+
+    def adopt_staged(self) -> None:
+        """Take what lies at the target already, where it is right."""
+        try:
+            held = self.target.staged(self.store.model)
+            for index in sorted(held & set(self.store.missing)):
+                self.store.add(
+                    index, self.target.read_piece(self.store.model, index)
+                )
+        except errors.EngineError as error:
+            LOG.warning("staged not read", extra={"reason": error.message})
+
+    def _work(self, todo: collections.deque, me, peers) -> None:
+        while todo:
+            index = todo.popleft()
+            if self.wanted() != self.store.version:
+                return
+            try:
+                found = self._fetch_piece(index, me, peers)
+            except Exception:
+                LOG.exception("piece failed", extra={"piece": index})
+                found = False
+            if not found:
+                todo.append(index)
+                eventlet.sleep(RETRY_S)
+
+    def _fetch_piece(self, index: int, me, peers) -> bool:
+        for source in _sources.sources(index, me, peers):
+            if self.wanted() != self.store.version:
+                return False
+            piece = self._ask(index, source)
+            if piece is None:
+                continue
+            if self.store.add(index, piece):
+                return True
+            LOG.warning(
+                "piece spoilt on the way",
+                extra={
+                    "piece": index,
+                    "version": self.store.version,
+                    "source": source.kind.value,
+                    "host": source.host_ip,
+                },
+            )
+        return False
+
+    def _ask(self, index: int, source: _sources.Source) -> bytes | None:
+        if source.kind is _sources.SourceKind.ORIGIN:
+            try:
+                piece = self.origin.piece(
+                    self.store.model, self.store.version, index
+                )
+            except errors.WeightsError as error:
+                LOG.info("origin", extra={"reason": error.message})
+                return None
+            self.from_origin += 1
+            return piece
+        return self._ask_peer(index, source)
+
+    def _ask_peer(self, index: int, source: _sources.Source) -> bytes | None:
+        host_ip = source.host_ip
+        if self.rested.get(host_ip, 0.0) > time.monotonic():
+            return None
+        pool = self.pools.get(host_ip)
+        if pool is None:
+            pool = self.pools[host_ip] = urllib3.HTTPConnectionPool(
+                host_ip, self.port, maxsize=FETCHES_AT_ONCE, retries=False
+            )
+        wait_s = PEER_WAIT_S if source.waits else 0.0
+        try:
+            answer = pool.request(
+                "GET",
+                f"/piece?model={self.store.model}"
+                f"&version={self.store.version}&index={index}&wait={wait_s}",
+                timeout=urllib3.Timeout(
+                    connect=PEER_CONNECT_S, read=PEER_READ_S
+                ),
+            )
+        except urllib3.exceptions.HTTPError as error:
+            self.rested[host_ip] = time.monotonic() + PEER_REST_S
+            LOG.info(
+                "peer silent", extra={"host": host_ip, "reason": str(error)}
+            )
+            return None
+        if answer.status != http.HTTPStatus.OK:
+            return None
+        self.from_peers += 1
+        return answer.data
+
+    def _me(self, peers: list[_sources.Peer]) -> _sources.Peer:
+        for peer in peers:
+            if peer.host_ip == self.me_ip:
+                return peer
+        return _sources.Peer(host_ip=self.me_ip, region="", holds=False)
+
+    def _check_wanted(self) -> None:
+        if self.wanted() != self.store.version:
+            raise SupersededError(code=errors.ResultCode.ORIGIN_CHANGED)
--- /dev/null
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -0,0 +1,140 @@
+"""Reads the target's load and tells the entries that asked for it."""
+
+import logging
+import socket
+import time
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from zinniadyke import directory
+from zinniadyke import errors
+from zinniadyke import ids
+from zinniadyke import platform
+from zinniadyke import reports
+
+LOG = logging.getLogger(__name__)
+
+# The report is read this often; entries place by it.
+PERIOD_S = 0.1
+# An unchanged report is sent again after this time.
+REPEAT_S = 0.3
+# Entries ask every 0.5 s; one that stopped is told nothing any more.
+SUBSCRIPTION_S = 2.0
+MAX_DATAGRAM_BYTES = 2048
+# Failed readings in a row after which the target counts as down.
+FAILURES_TO_DOWN = 3
+
+
+class LoadReporter:
+    """Polls the target beside and reports.
+
+    Attributes
+    ----------
+    latest
+        The target's newest report; None while it does not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        address: str,
+        target: platform.ModelServerClient,
+        view: directory.View,
+    ) -> None:
+        """Bind the socket."""
+        self.address = address
+        self.target = target
+        self.view = view
+        self.latest: platform.EngineReport | None = None
+        self.subscribers: dict[tuple[str, int], float] = {}
+        self.last_sent: reports.LoadReport | None = None
+        self.last_sent_at = float("-inf")
+        self.failures = 0
+        self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind((ip, port))
+
+    def receive(self) -> None:
+        """Take in what entries ask, for ever."""
+        while True:
+            try:
+                data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+                message = reports.decode(data)
+            except (OSError, ValueError) as error:
+                LOG.warning("bad datagram", extra={"reason": str(error)})
+                continue
+            if isinstance(message, reports.Subscribe):
+                self.subscribers[sender] = time.monotonic()
+                self._learn(message)
+
+    def run(self) -> None:
+        """Read and send reports, for ever."""
+        while True:
+            try:
+                self.take(self.target.report(self._layers()))
+            except errors.EngineError as error:
+                self._note_failure(error)
+            eventlet.sleep(PERIOD_S)
+
+    def take(self, report: platform.EngineReport) -> None:
+        """Take the target's report and pass it on."""
+        self.failures = 0
+        if self.latest is None:
+            LOG.info("target answers", extra={"orders": report.orders})
+        self.latest = report
+        self._send(
+            reports.LoadReport(
+                address=self.address,
+                born_ms=report.born_ms,
+                running=report.running,
+                waiting=report.waiting,
+                switching=report.order_runs,
+                weights=report.weights,
+            )
+        )
+
+    def _send(self, report: reports.LoadReport) -> None:
+        now = time.monotonic()
+        if report == self.last_sent and now < self.last_sent_at + REPEAT_S:
+            return
+        self.last_sent, self.last_sent_at = report, now
+        data = reports.encode(report)
+        for sender, asked_at in list(self.subscribers.items()):
+            if now > asked_at + SUBSCRIPTION_S:
+                del self.subscribers[sender]
+                continue
+            try:
+                self.sock.sendto(data, sender)
+            except OSError as error:
+                LOG.debug("not sent", extra={"reason": str(error)})
+
+    def _note_failure(self, error: errors.EngineError) -> None:
+        self.failures += 1
+        if self.failures == FAILURES_TO_DOWN:
+            LOG.warning("target silent", extra={"reason": error.message})
+            self.latest = None
+
+    def _learn(self, message: reports.Subscribe) -> None:
+        newer = [
+            directory.NamedVersion(
+                model=ids.ModelName(model), version=ids.WeightsVersion(version)
+            )
+            for model, version in message.named.items()
+            if self.view.named.get(model, 0) < version
+        ]
+        if newer:
+            self.view.set_named(newer)
+
+    def _layers(self) -> int:
+        if self.view.configuration is None:
+            return 0
+        return max(
+            (
+                s.engine.layers
+                for s in self.view.configuration.services.values()
+                if s.engine is not None
+            ),
+            default=0,
+        )
