Pace weights below the link; switch targets in turn, cut and resume

Change: senders write 4 KiB parts at 88% of the link; a version that can not be overtaken in time is finished first; targets switch one after another before the bound, cut what runs if all streams may resume, and entries take cut streams up elsewhere without queueing. Ruled out: waiting for requests to end at each target (1.5 to 2 s without capacity on all of them at once).

--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -46,6 +46,26 @@
         self.queue = requests.FairQueue()
         self.completions: collections.deque[float] = collections.deque()
 
+    def acquire_again(self, call: _call.Call) -> _target_state.TargetState:
+        """Return a target for a call whose attempt has ended.
+
+        It waits in no queue: it has waited before, and a stream that goes
+        on has events to catch up with.
+
+        Raises
+        ------
+        RequestError
+            No other target is there.
+        """
+        state = _placement.choose(
+            self.book.candidates(self.service, call.model, call.tried),
+            self.distance,
+            lambda _: UNLIMITED,
+        )
+        if state is None:
+            raise self._refusal(errors.ResultCode.NO_TARGET)
+        return self._take(state)
+
     def acquire(self, call: _call.Call) -> _target_state.TargetState:
         """Return a target with a place for the call, which is then taken.
 
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -21,6 +21,7 @@
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
 from zinniadyke import requests
+from zinniadyke import settings
 
 LOG = logging.getLogger(__name__)
 
@@ -30,11 +31,11 @@
 EVENT_TIMEOUT_S = 1.2
 # Silence after which an idempotent request goes to another target, as a
 # share of the time that is left for it.
-RETRY_SHARE = 0.5
-# Second attempts for each first one, and those saved up: all entries
-# together stay under the operators' bound.
-RETRY_RATIO = 0.15
-RETRIES_SAVED = 5.0
+SILENCE_SHARE = 0.5
+# Part of the operators' bound on second attempts that is used.
+RETRY_SHARE_USED = 0.8
+# Entries that share what the bound allows beside the requests.
+FEWEST_ENTRIES = 5
 # Targets that one request may be placed at while none took its connection.
 MAX_PLACEMENTS = 4
 # When a caller may come back after targets refused its request, in seconds.
@@ -51,9 +52,15 @@
     """
 
     def __init__(
-        self, *, view: directory.View, book: _book.TargetBook, distance
+        self,
+        *,
+        view: directory.View,
+        book: _book.TargetBook,
+        distance,
+        bounds: settings.BoundsSection,
     ) -> None:
         """Start with nothing in flight."""
+        self.bounds = bounds
         self.view = view
         self.book = book
         self.distance = distance
@@ -80,7 +87,10 @@
         attempt = None
         while True:
             try:
-                state = admission.acquire(call)
+                if attempt is None:
+                    state = admission.acquire(call)
+                else:
+                    state = admission.acquire_again(call)
             except errors.RequestError:
                 if attempt is None:
                     raise
@@ -163,7 +173,10 @@
     def _budget(self, service: ids.ServiceName) -> requests.RetryBudget:
         if service not in self.budgets:
             self.budgets[service] = requests.RetryBudget(
-                ratio=RETRY_RATIO, most=RETRIES_SAVED
+                ratio=self.bounds.retry_ratio * RETRY_SHARE_USED,
+                most=self.bounds.retry_extra
+                * RETRY_SHARE_USED
+                / FEWEST_ENTRIES,
             )
         return self.budgets[service]
 
@@ -246,7 +259,7 @@
             return left_s + _attempt.ANSWER_SLACK_S
         if repeat is directory.Repeat.RESUME:
             return min(FIRST_EVENT_TIMEOUT_S, left_s)
-        return max(left_s * RETRY_SHARE, self.call.route.objective_s)
+        return max(left_s * SILENCE_SHARE, self.call.route.objective_s)
 
     def _relay_stream(self, attempt: _attempt.Attempt) -> None:
         splitter = _events.EventSplitter()
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -63,6 +63,7 @@
             view=self.view,
             book=self.book,
             distance=_placement.distances(loaded.host.zone, regions),
+            bounds=loaded.bounds,
         )
         self.loads = _load_listener.LoadListener(
             name=loaded.host.name,
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -10,9 +10,9 @@
 from eventlet import greenpool
 import urllib3
 
-from zinniadyke import directory
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import pacing
 from zinniadyke import platform
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _sources
@@ -21,7 +21,7 @@
 
 # Pieces that are asked for at once.
 FETCHES_AT_ONCE = 4
-PEER_CONNECT_S = 0.3
+PEER_CONNECT_S = 1.0
 # A piece takes some 70 ms on a free link; a waiting answer comes first.
 PEER_READ_S = 1.6
 PEER_WAIT_S = 0.8
@@ -45,6 +45,8 @@
         Returns the version that is wanted now.
     peers
         Returns all agents of the service, this one too, in a shared order.
+    bucket
+        Paces what is asked for below the host's link.
     """
 
     def __init__(
@@ -58,6 +60,8 @@
         peers: Callable[[], list[_sources.Peer]],
         wanted: Callable[[], ids.WeightsVersion],
         pools: dict[str, urllib3.HTTPConnectionPool],
+        bucket: pacing.TokenBucket,
+        piece_bytes: int,
     ) -> None:
         """Start with what the store holds."""
         self.target = target
@@ -68,6 +72,8 @@
         self.peers = peers
         self.wanted = wanted
         self.pools = pools
+        self.bucket = bucket
+        self.piece_bytes = piece_bytes
         self.rested: dict[str, float] = {}
         self.from_origin = 0
         self.from_peers = 0
@@ -169,6 +175,7 @@
 
     def _ask(self, index: int, source: _sources.Source) -> bytes | None:
         if source.kind is _sources.SourceKind.ORIGIN:
+            self.bucket.take(self.piece_bytes)
             try:
                 piece = self.origin.piece(
                     self.store.model, self.store.version, index
@@ -190,6 +197,7 @@
                 host_ip, self.port, maxsize=FETCHES_AT_ONCE, retries=False
             )
         wait_s = PEER_WAIT_S if source.waits else 0.0
+        self.bucket.take(self.piece_bytes)
         try:
             answer = pool.request(
                 "GET",
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -17,6 +17,7 @@
 
 from zinniadyke import errors
 from zinniadyke import listening
+from zinniadyke import pacing
 from zinniadyke import platform
 from zinniadyke.sidecar import _pieces
 
@@ -29,9 +30,11 @@
 MANIFEST_PATH = "/manifest"
 # Longest time that a peer may wait for a piece that is on its way.
 MAX_WAIT_S = 1.0
-# Pieces that are sent at once: more would queue in the host's link and
-# delay the events of streams.
-UPLOADS_AT_ONCE = 2
+# Pieces that are sent at once.
+UPLOADS_AT_ONCE = 4
+# Pieces leave in parts of this size, so that the events of streams wait for
+# no more than that in the host's link.
+PART_BYTES = 4096
 
 
 class PeerServer:
@@ -44,9 +47,16 @@
     """
 
     def __init__(
-        self, *, address: str, target: platform.ModelServerClient
+        self,
+        *,
+        address: str,
+        target: platform.ModelServerClient,
+        bytes_per_s: float,
     ) -> None:
         """Bind the socket."""
+        self.bucket = pacing.TokenBucket(
+            bytes_per_s=bytes_per_s, burst_bytes=PART_BYTES
+        )
         self.target = target
         self.store: _pieces.PieceStore | None = None
         self.uploads = semaphore.Semaphore(UPLOADS_AT_ONCE)
@@ -85,7 +95,11 @@
             write = start_response(
                 "200 OK", [("Content-Length", str(len(piece)))]
             )
-            write(piece)
+            view = memoryview(piece)
+            for start in range(0, len(piece), PART_BYTES):
+                part = view[start : start + PART_BYTES]
+                self.bucket.take(len(part))
+                write(bytes(part))
             self.sent_bytes += len(piece)
         return []
 
--- /dev/null
+++ b/zinniadyke/sidecar/_schedule.py
@@ -0,0 +1,70 @@
+"""When to bring which version, and when to switch. Plain decisions, no I/O.
+
+Load it answers: versions that are named faster than they can be brought,
+and all targets of a service switching at once.
+"""
+
+from collections.abc import Mapping
+
+from zinniadyke import ids
+
+# Kept back from the bound: reading back, the order and the load itself.
+SWITCH_MARGIN_S = 1.0
+# Targets switch one after the other over at most this time; each is out for
+# the load of some 0.3 s.
+SWITCH_WINDOW_S = 1.6
+SWITCH_GAP_S = 0.35
+
+
+def choose_version(
+    named_at: Mapping[ids.WeightsVersion, float],
+    held: int,
+    *,
+    now: float,
+    bound_s: float,
+    bring_s: float,
+) -> ids.WeightsVersion:
+    """Return the version to bring next.
+
+    The newest, unless an older one is due before the newest could be there
+    and is likely to be brought in time: then that one keeps the target in
+    service in between.
+
+    Parameters
+    ----------
+    named_at
+        Monotonic time at which each version was named, in seconds; not
+        empty.
+    held
+        Version that the target holds; 0 if none.
+    bring_s
+        Time from naming a version until it can be loaded, in seconds.
+    """
+    newest = max(named_at)
+    if not held or held >= newest:
+        return newest
+    for version in sorted(named_at):
+        if version <= held or version == newest:
+            continue
+        due = named_at[version] + bound_s
+        newest_ready = named_at[newest] + bring_s
+        if newest_ready > due and now < due:
+            return version
+    return newest
+
+
+def switch_at(
+    named_at: float, *, bound_s: float, place: int, count: int
+) -> float:
+    """Return when a target shall switch to a version, monotonic seconds.
+
+    Parameters
+    ----------
+    place
+        The target's place among the ``count`` targets of its service.
+    """
+    latest = named_at + bound_s - SWITCH_MARGIN_S
+    if count < 2:
+        return latest
+    window_s = min(SWITCH_WINDOW_S, SWITCH_GAP_S * (count - 1))
+    return latest - window_s * (count - 1 - place) / (count - 1)
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -9,12 +9,14 @@
 from zinniadyke import directory
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import pacing
 from zinniadyke import platform
 from zinniadyke import settings
 from zinniadyke.sidecar import _bring
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pieces
+from zinniadyke.sidecar import _schedule
 from zinniadyke.sidecar import _sources
 
 LOG = logging.getLogger(__name__)
@@ -30,7 +32,12 @@
 PIECES_LIFE_S = 10.0
 # Version that targets hold while none was ever named.
 FIRST_VERSION = ids.WeightsVersion(1)
-ORIGIN_CONNECTIONS = 2
+ORIGIN_CONNECTIONS = 4
+# Share of the host's link that weights may take; the rest is for requests.
+LINK_SHARE = 0.88
+LOAD_CHECK_S = 0.05
+BYTES_PER_MBIT = 125000
+MS_PER_S = 1000.0
 
 
 class Sidecar:
@@ -40,6 +47,7 @@
         """Bind the sockets; :meth:`start` works."""
         self.settings = loaded
         host = loaded.host
+        self.bulk_rate = host.link_mbps * BYTES_PER_MBIT * LINK_SHARE
         self.regions = {r.zone: r.region for r in host.regions}
         self.view = directory.View()
         self.store = platform.StoreClient(address=loaded.store.address)
@@ -52,8 +60,11 @@
             "versions": platform.follow_versions(self.store, self.view),
         }
         self.peer_server = _peer_server.PeerServer(
-            address=f"{host.ip}:{host.ports[0]}", target=self.target
+            address=f"{host.ip}:{host.ports[0]}",
+            target=self.target,
+            bytes_per_s=self.bulk_rate,
         )
+        self.bucket = pacing.TokenBucket(bytes_per_s=self.bulk_rate)
         self.reporter = _load_reporter.LoadReporter(
             ip=host.ip,
             port=host.ports[0],
@@ -131,11 +142,15 @@
             peers=self._peers(model, version),
             wanted=lambda: self._wanted(model),
             pools=self.pools,
+            bucket=self.bucket,
+            piece_bytes=self._engine().chunk_bytes,
         )
         if store.missing:
             bringer.adopt_staged()
         bringer.fetch()
         fetched = time.monotonic()
+        if self._held(model):
+            self._wait_for_turn(model, version)
         bringer.verify()
         loaded = self._load(model, version)
         LOG.info(
@@ -158,18 +173,17 @@
             eventlet.sleep(RETRY_S)
             return False
         if not self.target.load(
-            model, version, orders=before.orders, cut=False
+            model, version, orders=before.orders, cut=self._may_cut()
         ):
             return False
-        while self._wanted(model) >= version:
+        while True:
             report = self.target.report(layers)
             self.reporter.take(report)
             if report.weights.get(model) == version:
                 return True
             if not report.order_runs and report.orders != before.orders + 1:
                 return False
-            eventlet.sleep(0.05)
-        return False
+            eventlet.sleep(LOAD_CHECK_S)
 
     def _piece_store(
         self, model: ids.ModelName, version: ids.WeightsVersion
@@ -209,7 +223,50 @@
         return peers
 
     def _wanted(self, model: ids.ModelName) -> ids.WeightsVersion:
-        return self.view.named.get(model, FIRST_VERSION)
+        named_at = self.view.named_at.get(model)
+        if not named_at:
+            return FIRST_VERSION
+        engine = self._engine()
+        size = engine.chunks * engine.chunk_bytes
+        return _schedule.choose_version(
+            named_at,
+            self._held(model),
+            now=time.monotonic(),
+            bound_s=self.settings.bounds.version_ms / MS_PER_S,
+            bring_s=size / self.bulk_rate + _schedule.SWITCH_MARGIN_S,
+        )
+
+    def _held(self, model: ids.ModelName) -> int:
+        report = self.reporter.latest
+        return report.weights.get(model, 0) if report else 0
+
+    def _wait_for_turn(
+        self, model: ids.ModelName, version: ids.WeightsVersion
+    ) -> None:
+        """Wait so that the service's targets switch one after the other."""
+        targets = self.view.of_service(self._service())
+        ips = [t.host_ip for t in targets]
+        my_ip = self.settings.host.ip
+        named_at = self.view.named_at.get(model, {}).get(version)
+        if named_at is None or my_ip not in ips:
+            return
+        turn = _schedule.switch_at(
+            named_at,
+            bound_s=self.settings.bounds.version_ms / MS_PER_S,
+            place=ips.index(my_ip),
+            count=len(ips),
+        )
+        eventlet.sleep(max(0.0, turn - time.monotonic()))
+
+    def _may_cut(self) -> bool:
+        """Whether all streams of the service can go on elsewhere."""
+        service = self._service()
+        return all(
+            route.repeat is directory.Repeat.RESUME
+            for routes in self.view.configuration.routes.values()
+            for route in routes
+            if any(b.service == service for b in route.backends)
+        )
 
     def _service(self) -> ids.ServiceName:
         return ids.ServiceName(self.settings.target.service)
--- a/zinniadyke/weights/__init__.py
+++ b/zinniadyke/weights/__init__.py
@@ -1,6 +1,6 @@
 """Weights: manifests, verified chunks in memory, and their distribution."""
 
-from zinniadyke.weights._bucket import TokenBucket
+from zinniadyke.pacing import TokenBucket
 from zinniadyke.weights._fetch import ChunkFetcher
 from zinniadyke.weights._fetch import SourceCounts
 from zinniadyke.weights._manifest import build_manifest
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -12,7 +12,7 @@
 from zinniadyke import origin
 from zinniadyke import peers
 from zinniadyke import platform
-from zinniadyke.weights import _bucket
+from zinniadyke import pacing
 from zinniadyke.weights import _manifest
 from zinniadyke.weights import _origin_window
 from zinniadyke.weights import _plan
@@ -76,7 +76,7 @@
         origin_client: origin.OriginClient,
         origin_copies: float = 1.0,
         budget_bytes: int = 0,
-        ingress: _bucket.TokenBucket | None = None,
+        ingress: pacing.TokenBucket | None = None,
         choose: Choose = _plan.candidates,
     ) -> None:
         """Hold the parts; ``run`` does the work."""
@@ -90,7 +90,7 @@
         self.origin_copies = origin_copies
         self.budget_bytes = budget_bytes
         self.choose = choose
-        self.ingress = ingress or _bucket.TokenBucket()
+        self.ingress = ingress or pacing.TokenBucket()
         self.counts = SourceCounts()
         self.banned: set[ids.HostName] = set()
         self.window = _origin_window.OriginWindow()
