Ask whether a piece is ready before paying for its bytes; fetch ahead

Cause: a version waited for the one before to be loaded; ten tasks at the origin met its 48 connections (3.6 copies read).

--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -33,7 +33,7 @@
 # share of the time that is left for it.
 SILENCE_SHARE = 0.5
 # Part of the operators' bound on second attempts that is used.
-RETRY_SHARE_USED = 0.8
+RETRY_SHARE_USED = 0.9
 # Entries that share what the bound allows beside the requests.
 FEWEST_ENTRIES = 5
 # Targets that one request may be placed at while none took its connection.
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -14,7 +14,8 @@
 ORDER_TIMEOUT_S = 2.0
 # A piece of 32 KiB takes some 70 ms on a host's link; several share it.
 ORIGIN_TIMEOUT_S = 3.0
-CONNECT_TIMEOUT_S = 0.5
+# Opening packets wait in a link that is full.
+CONNECT_TIMEOUT_S = 1.5
 LOCAL_CONNECTIONS = 2
 
 
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -8,6 +8,7 @@
 
 import eventlet
 from eventlet import greenpool
+from eventlet import semaphore
 import urllib3
 
 from zinniadyke import errors
@@ -19,8 +20,13 @@
 
 LOG = logging.getLogger(__name__)
 
-# Pieces that are asked for at once.
-FETCHES_AT_ONCE = 4
+# Pieces that are asked for at once; most wait until a peer has them.
+FETCHES_AT_ONCE = 10
+# Calls to the origin at once: all agents share its few connections.
+ORIGIN_CALLS = 2
+# Failed rounds after which a piece is asked of the origin by others than its
+# first reader.
+ROUNDS_TO_ORIGIN = 2
 PEER_CONNECT_S = 1.0
 # A piece takes some 70 ms on a free link; a waiting answer comes first.
 PEER_READ_S = 1.6
@@ -74,6 +80,8 @@
         self.pools = pools
         self.bucket = bucket
         self.piece_bytes = piece_bytes
+        self.origin_calls = semaphore.Semaphore(ORIGIN_CALLS)
+        self.failures: collections.Counter[int] = collections.Counter()
         self.rested: dict[str, float] = {}
         self.from_origin = 0
         self.from_peers = 0
@@ -150,11 +158,15 @@
                 LOG.exception("piece failed", extra={"piece": index})
                 found = False
             if not found:
+                self.failures[index] += 1
                 todo.append(index)
                 eventlet.sleep(RETRY_S)
 
     def _fetch_piece(self, index: int, me, peers) -> bool:
-        for source in _sources.sources(index, me, peers):
+        asked = _sources.sources(index, me, peers)
+        if len(asked) > 1 and self.failures[index] < ROUNDS_TO_ORIGIN:
+            asked = asked[:-1]
+        for source in asked:
             if self.wanted() != self.store.version:
                 return False
             piece = self._ask(index, source)
@@ -175,6 +187,21 @@
 
     def _ask(self, index: int, source: _sources.Source) -> bytes | None:
         if source.kind is _sources.SourceKind.ORIGIN:
+            return self._ask_origin(index)
+        if self.rested.get(source.host_ip, 0.0) > time.monotonic():
+            return None
+        if source.waits and (
+            self._get(source, f"/ready{self._query(index)}&wait={PEER_WAIT_S}")
+            is None
+        ):
+            return None
+        self.bucket.take(self.piece_bytes)
+        piece = self._get(source, f"/piece{self._query(index)}")
+        self.from_peers += piece is not None
+        return piece
+
+    def _ask_origin(self, index: int) -> bytes | None:
+        with self.origin_calls:
             self.bucket.take(self.piece_bytes)
             try:
                 piece = self.origin.piece(
@@ -183,26 +210,24 @@
             except errors.WeightsError as error:
                 LOG.info("origin", extra={"reason": error.message})
                 return None
-            self.from_origin += 1
-            return piece
-        return self._ask_peer(index, source)
+        self.from_origin += 1
+        return piece
 
-    def _ask_peer(self, index: int, source: _sources.Source) -> bytes | None:
+    def _query(self, index: int) -> str:
+        store = self.store
+        return f"?model={store.model}&version={store.version}&index={index}"
+
+    def _get(self, source: _sources.Source, path: str) -> bytes | None:
         host_ip = source.host_ip
-        if self.rested.get(host_ip, 0.0) > time.monotonic():
-            return None
         pool = self.pools.get(host_ip)
         if pool is None:
             pool = self.pools[host_ip] = urllib3.HTTPConnectionPool(
                 host_ip, self.port, maxsize=FETCHES_AT_ONCE, retries=False
             )
-        wait_s = PEER_WAIT_S if source.waits else 0.0
-        self.bucket.take(self.piece_bytes)
         try:
             answer = pool.request(
                 "GET",
-                f"/piece?model={self.store.model}"
-                f"&version={self.store.version}&index={index}&wait={wait_s}",
+                path,
                 timeout=urllib3.Timeout(
                     connect=PEER_CONNECT_S, read=PEER_READ_S
                 ),
@@ -215,7 +240,6 @@
             return None
         if answer.status != http.HTTPStatus.OK:
             return None
-        self.from_peers += 1
         return answer.data
 
     def _me(self, peers: list[_sources.Peer]) -> _sources.Peer:
@@ -225,5 +249,5 @@
         return _sources.Peer(host_ip=self.me_ip, region="", holds=False)
 
     def _check_wanted(self) -> None:
-        if self.wanted() != self.store.version:
+        if self.store.missing and self.wanted() != self.store.version:
             raise SupersededError(code=errors.ResultCode.ORIGIN_CHANGED)
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -84,13 +84,23 @@
         if self.latest is None:
             LOG.info("target answers", extra={"orders": report.orders})
         self.latest = report
+        self._report(report, switching=report.order_runs)
+
+    def announce_switch(self) -> None:
+        """Tell entries that the target takes nothing new from now on."""
+        if self.latest is not None:
+            self._report(self.latest, switching=True)
+
+    def _report(
+        self, report: platform.EngineReport, *, switching: bool
+    ) -> None:
         self._send(
             reports.LoadReport(
                 address=self.address,
                 born_ms=report.born_ms,
                 running=report.running,
                 waiting=report.waiting,
-                switching=report.order_runs,
+                switching=switching,
                 weights=report.weights,
             )
         )
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -1,4 +1,4 @@
-"""Passes pieces and manifests on to other agents, over HTTP.
+"""Passes pieces on to other agents, over HTTP.
 
 HTTP by eventlet's WSGI server takes the place of pyzmq here: a process does
 without the 10 MB that the library takes, and a transfer has a connection of
@@ -13,7 +13,6 @@
 import eventlet
 from eventlet import semaphore
 from eventlet import wsgi
-import msgspec
 
 from zinniadyke import errors
 from zinniadyke import listening
@@ -27,11 +26,17 @@
 QUIET.addHandler(logging.NullHandler())
 
 PIECE_PATH = "/piece"
-MANIFEST_PATH = "/manifest"
+# Answers as soon as a piece is here, without sending it.
+READY_PATH = "/ready"
 # Longest time that a peer may wait for a piece that is on its way.
 MAX_WAIT_S = 1.0
 # Pieces that are sent at once.
-UPLOADS_AT_ONCE = 4
+UPLOADS_AT_ONCE = 6
+# How often a version that nobody has begun yet is looked for.
+STORE_CHECK_S = 0.05
+# Versions whose pieces are held: the one that the target is to load, and
+# the one that follows it.
+MAX_STORES = 2
 # Pieces leave in parts of this size, so that the events of streams wait for
 # no more than that in the host's link.
 PART_BYTES = 4096
@@ -42,8 +47,8 @@
 
     Attributes
     ----------
-    store
-        The version that is being, or was last, brought; None at the start.
+    stores
+        The versions that are being, or were last, brought, oldest first.
     """
 
     def __init__(
@@ -58,12 +63,27 @@
             bytes_per_s=bytes_per_s, burst_bytes=PART_BYTES
         )
         self.target = target
-        self.store: _pieces.PieceStore | None = None
+        self.stores: list[_pieces.PieceStore] = []
         self.uploads = semaphore.Semaphore(UPLOADS_AT_ONCE)
         self.asked_at = float("-inf")
         self.sent_bytes = 0
         self.socket = listening.listen(address)
 
+    def find_store(
+        self, model: str, version: int
+    ) -> _pieces.PieceStore | None:
+        """Return what is here of a version."""
+        for store in self.stores:
+            if (store.model, store.version) == (model, version):
+                return store
+        return None
+
+    def add_store(self, store: _pieces.PieceStore) -> None:
+        """Begin to pass a version on; the oldest beyond the bound goes."""
+        if self.stores:
+            store.adopt(self.stores[-1])
+        self.stores = [*self.stores, store][-MAX_STORES:]
+
     def run(self) -> None:
         """Serve for ever."""
         wsgi.server(
@@ -76,8 +96,6 @@
         try:
             model = query["model"][0]
             version = int(query["version"][0])
-            if environ["PATH_INFO"] == MANIFEST_PATH:
-                return self._manifest(model, version, start_response)
             index = int(query["index"][0])
             wait_s = float(query.get("wait", ["0"])[0])
         except (KeyError, ValueError) as error:
@@ -85,7 +103,13 @@
                 start_response, http.HTTPStatus.BAD_REQUEST, str(error)
             )
         self.asked_at = time.monotonic()
-        piece = self._find(model, version, index, min(wait_s, MAX_WAIT_S))
+        if environ["PATH_INFO"] == READY_PATH:
+            ready = self._wait_for(model, version, index, wait_s)
+            return _answer(
+                start_response,
+                http.HTTPStatus.OK if ready else http.HTTPStatus.NOT_FOUND,
+            )
+        piece = self._find(model, version, index)
         if piece is None:
             return _answer(start_response, http.HTTPStatus.NOT_FOUND)
         return self._send(piece, start_response)
@@ -103,44 +127,37 @@
             self.sent_bytes += len(piece)
         return []
 
-    def _manifest(self, model: str, version: int, start_response):
-        store = self.store
-        if store is None or (store.model, store.version) != (model, version):
-            return _answer(start_response, http.HTTPStatus.NOT_FOUND)
-        return _answer(
-            start_response,
-            http.HTTPStatus.OK,
-            msgspec.json.encode(store.digests),
-        )
-
-    def _find(
+    def _wait_for(
         self, model: str, version: int, index: int, wait_s: float
-    ) -> bytes | None:
-        end = time.monotonic() + wait_s
+    ) -> bool:
+        """Wait until a piece is here; False if it does not come."""
+        end = time.monotonic() + min(wait_s, MAX_WAIT_S)
         while True:
-            store = self.store
-            known = store is not None and (
-                (store.model, store.version) == (model, version)
-            )
-            if known and index in store.pieces:
-                return store.pieces[index]
+            store = self.find_store(model, version)
+            if store is not None and index in store.pieces:
+                return True
             left_s = end - time.monotonic()
             if left_s <= 0:
-                break
-            if known:
+                return False
+            if store is not None:
                 store.changed.wait(left_s)
             else:
-                eventlet.sleep(min(left_s, 0.05))
-        return self._staged(model, index, known)
+                eventlet.sleep(min(left_s, STORE_CHECK_S))
+
+    def _find(self, model: str, version: int, index: int) -> bytes | None:
+        store = self.find_store(model, version)
+        if store is not None and index in store.pieces:
+            return store.pieces[index]
+        return self._staged(model, index, store)
 
-    def _staged(self, model: str, index: int, known: bool) -> bytes | None:
+    def _staged(self, model: str, index: int, store) -> bytes | None:
         """Return what lies at the target; the asker checks it."""
         try:
             piece = self.target.read_piece(model, index)
         except errors.EngineError as error:
             LOG.warning("piece not read", extra={"reason": error.message})
             return None
-        if known and not self.store.matches(index, piece):
+        if store is not None and not store.matches(index, piece):
             return None
         return piece
 
--- a/zinniadyke/sidecar/_pieces.py
+++ b/zinniadyke/sidecar/_pieces.py
@@ -1,6 +1,7 @@
 """Pieces of the version that is being brought, checked by digest."""
 
 import hashlib
+import time
 
 from zinniadyke import directory
 from zinniadyke import ids
@@ -11,6 +12,9 @@
 
     Attributes
     ----------
+    whole_at
+        Monotonic time at which the last piece came; None before. It stays
+        when pieces are forgotten.
     changed
         Wakes those who wait for a piece.
     """
@@ -28,12 +32,15 @@
         self.digests = digests
         self.pieces: dict[int, bytes] = {}
         self.changed = directory.Signal()
+        self.whole_at: float | None = None
 
     def add(self, index: int, piece: bytes) -> bool:
         """Take a piece if it is the right one; whether it was."""
         if not self.matches(index, piece):
             return False
         self.pieces[index] = piece
+        if not self.missing:
+            self.whole_at = time.monotonic()
         self.changed.send()
         return True
 
@@ -52,6 +59,8 @@
         for index, digest in enumerate(self.digests):
             if digest in by_digest:
                 self.pieces[index] = by_digest[digest]
+        if not self.missing:
+            self.whole_at = time.monotonic()
 
     @property
     def missing(self) -> list[int]:
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -4,6 +4,7 @@
 and all targets of a service switching at once.
 """
 
+from collections.abc import Collection
 from collections.abc import Mapping
 
 from zinniadyke import ids
@@ -19,12 +20,13 @@
 def choose_version(
     named_at: Mapping[ids.WeightsVersion, float],
     held: int,
+    whole: Collection[int],
     *,
     now: float,
     bound_s: float,
     bring_s: float,
 ) -> ids.WeightsVersion:
-    """Return the version to bring next.
+    """Return the version to fetch next.
 
     The newest, unless an older one is due before the newest could be there
     and is likely to be brought in time: then that one keeps the target in
@@ -37,6 +39,8 @@
         empty.
     held
         Version that the target holds; 0 if none.
+    whole
+        Versions whose pieces are all here already.
     bring_s
         Time from naming a version until it can be loaded, in seconds.
     """
@@ -44,7 +48,7 @@
     if not held or held >= newest:
         return newest
     for version in sorted(named_at):
-        if version <= held or version == newest:
+        if version <= held or version in whole or version == newest:
             continue
         due = named_at[version] + bound_s
         newest_ready = named_at[newest] + bring_s
--- a/zinniadyke/telemetry/_logs.py
+++ b/zinniadyke/telemetry/_logs.py
@@ -27,3 +27,5 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
+    # Each connection beyond the kept ones would be a line.
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
