--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -25,6 +25,14 @@
         Targets that it was sent to, in order.
     last_event_id
         Last stream event that the caller has; empty when none.
+    sent_at, first_part_at, last_part_at
+        Monotonic time at which it was first sent to a target, and at which
+        the first and the last part of the answer were passed on.
+    load_then, load_age_s
+        Requests at the target as known when the call was first sent there,
+        and the age of the target's report.
+    longest_gap_s
+        Longest time between two parts of the answer.
     """
 
     request: _request.CallerRequest
@@ -38,7 +46,22 @@
     model: str
     last_event_id: str
     tried: list[ids.TargetId] = []
-    sent_at: float = 0.0
+    sent_at: float | None = None
+    first_part_at: float | None = None
+    last_part_at: float | None = None
+    longest_gap_s: float = 0.0
+    load_then: int = 0
+    load_age_s: float = 0.0
+
+    def note_part(self) -> None:
+        """Count a part of the answer that is passed on."""
+        now = time.monotonic()
+        if self.last_part_at is None:
+            self.first_part_at = now
+        else:
+            gap_s = now - self.last_part_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_part_at = now
 
     @property
     def left_s(self) -> float:
--- a/zinniadyke/gateway/_caller.py
+++ b/zinniadyke/gateway/_caller.py
@@ -94,7 +94,7 @@
         self.close_after = True
         if (
             not self.busy
-            and not len(self.requests)
+            and self.requests.empty()
             and self.parser.reading_since is None
         ):
             self.gone = True
@@ -215,7 +215,7 @@
                 if self.parser.reading_since is not None:
                     self.parser.time_out()
                     return b""
-                if not self.busy and not len(self.requests):
+                if not self.busy and self.requests.empty():
                     return b""
 
     def _go_ahead(self) -> None:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -112,9 +112,14 @@
     def _new_attempt(
         self, exchange: "Exchange", state: _target_state.TargetState
     ) -> _attempt.Attempt:
-        exchange.call.tried.append(state.target.id)
+        call = exchange.call
+        call.tried.append(state.target.id)
+        if call.sent_at is None:
+            call.sent_at = time.monotonic()
+            call.load_then = state.load
+            call.load_age_s = call.sent_at - state.reported_at
         return _attempt.Attempt(
-            call=exchange.call,
+            call=call,
             state=state,
             last_event_id=exchange.last_event_id,
             weights_version=0,
@@ -298,6 +303,7 @@
         return fresh
 
     def _pass_part(self, attempt: _attempt.Attempt, part: bytes) -> None:
+        self.call.note_part()
         if self.streaming:
             self.caller.send_part(part)
             return
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -209,13 +209,22 @@
             "request": request.header(headers.REQUEST_ID),
             "code": code.number,
             "result": code.name,
-            "ms": math.ceil((time.monotonic() - request.arrived_at) * 1000),
+            "ms": _ms_between(request.arrived_at, time.monotonic()),
         }
         if call is not None:
             fields["route"] = call.route.name
             fields["service"] = call.service
             fields["workspace"] = call.workspace
             fields["targets"] = call.tried
+            for name, moment in (
+                ("sent_ms", call.sent_at),
+                ("first_ms", call.first_part_at),
+            ):
+                if moment is not None:
+                    fields[name] = _ms_between(request.arrived_at, moment)
+            fields["load"] = call.load_then
+            fields["load_age_ms"] = _capped_ms(call.load_age_s)
+            fields["gap_ms"] = math.ceil(call.longest_gap_s * MS_PER_S)
         LOG.info("request", extra=fields)
 
     def _serve_ready(self) -> None:
@@ -234,3 +243,12 @@
         status = "200 OK" if self.ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
+
+
+def _ms_between(start: float, end: float) -> int:
+    return math.ceil((end - start) * MS_PER_S)
+
+
+def _capped_ms(seconds: float) -> int | None:
+    """Return milliseconds; None for a report that never came."""
+    return None if math.isinf(seconds) else math.ceil(seconds * MS_PER_S)
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -6,7 +6,7 @@
 
 # A load report that is older than this says nothing any more. Agents report
 # at least every 0.3 s.
-REPORT_LIFE_S = 1.2
+REPORT_LIFE_S = 4.0
 # Rest of a target after a failure in a row; doubles with each up to the
 # second figure.
 REST_MIN_S = 0.5
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -5,7 +5,6 @@
 import time
 
 import eventlet
-import urllib3
 
 from zinniadyke import directory
 from zinniadyke import errors
@@ -15,10 +14,11 @@
 from zinniadyke import settings
 from zinniadyke.sidecar import _bring
 from zinniadyke.sidecar import _load_reporter
+from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _peer_server
+from zinniadyke.sidecar import _pick
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _schedule
-from zinniadyke.sidecar import _sources
 
 LOG = logging.getLogger(__name__)
 
@@ -72,7 +72,9 @@
         self.versions = platform.follow_versions(store, view)
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
-        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self.client = _peer_client.PeerClient(port=loaded.host.ports[0])
+        peer_server.holds = self._holds
+        peer_server.piece_count = self._piece_count
         self.targets_read_at = float("-inf")
         self.versions_read_at = float("-inf")
         self.changed = directory.Signal()
@@ -265,29 +267,40 @@
             target=self.target,
             origin=self._origin(),
             store=store,
-            me_ip=self.settings.host.ip,
-            port=self.settings.host.ports[0],
-            peers=lambda: self._peers(model, store.version),
+            swarm=self._swarm(model, store.version),
+            client=self.client,
             wanted=lambda: self._to_fetch(model),
-            pools=self.pools,
             bucket=self.bucket,
             piece_bytes=self._engine().chunk_bytes,
         )
 
-    def _peers(
+    def _swarm(
         self, model: ids.ModelName, version: ids.WeightsVersion
-    ) -> list[_sources.Peer]:
+    ) -> _pick.Swarm:
         if time.monotonic() - self.targets_read_at > PEERS_LIFE_S:
             self.targets.relist()
             self.targets_read_at = time.monotonic()
-        return [
-            _sources.Peer(
+        my_ip = self.settings.host.ip
+        peers = [
+            _pick.Peer(
                 host_ip=target.host_ip,
                 region=self.regions.get(target.zone, ""),
-                holds=target.weights.get(model) == version,
+                holds=target.weights.get(model) == version
+                and target.host_ip != my_ip,
             )
             for target in self.view.of_service(self._service())
         ]
+        me = _pick.Peer(
+            host_ip=my_ip, region=self.settings.host.region, holds=False
+        )
+        return _pick.Swarm(me=me, peers=peers)
+
+    def _holds(self, model: str, version: int) -> bool:
+        return self._held(ids.ModelName(model)) == version
+
+    def _piece_count(self) -> int:
+        engine = self._engine()
+        return engine.chunks if engine else 0
 
     def _forget_pieces(self) -> None:
         idle_s = time.monotonic() - self.peer_server.asked_at
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -5,6 +5,8 @@
 its own, so that one slow peer holds up no other.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import http
 import logging
 import time
@@ -26,14 +28,12 @@
 QUIET.addHandler(logging.NullHandler())
 
 PIECE_PATH = "/piece"
-# Answers as soon as a piece is here, without sending it.
-READY_PATH = "/ready"
+# Tells which pieces are here, as soon as that are others than before.
+HAVE_PATH = "/have"
 # Longest time that a peer may wait for a piece that is on its way.
 MAX_WAIT_S = 1.0
 # Pieces that are sent at once.
 UPLOADS_AT_ONCE = 6
-# How often a version that nobody has begun yet is looked for.
-STORE_CHECK_S = 0.05
 # Versions whose pieces are held: the one that the target is to load, and
 # the one that follows it.
 MAX_STORES = 2
@@ -49,6 +49,10 @@
     ----------
     stores
         The versions that are being, or were last, brought, oldest first.
+    holds
+        Returns whether the target holds a version of a model.
+    piece_count
+        Returns how many pieces a version has.
     """
 
     def __init__(
@@ -63,6 +67,8 @@
             bytes_per_s=bytes_per_s, burst_bytes=PART_BYTES
         )
         self.target = target
+        self.holds: Callable[[str, int], bool] = lambda model, version: False
+        self.piece_count: Callable[[], int] = lambda: 0
         self.stores: list[_pieces.PieceStore] = []
         self.uploads = semaphore.Semaphore(UPLOADS_AT_ONCE)
         self.asked_at = float("-inf")
@@ -96,19 +102,18 @@
         try:
             model = query["model"][0]
             version = int(query["version"][0])
+            self.asked_at = time.monotonic()
+            if environ["PATH_INFO"] == HAVE_PATH:
+                known = int(query["known"][0])
+                wait_s = float(query["wait"][0])
+                return self._have(
+                    model, version, known, wait_s, start_response
+                )
             index = int(query["index"][0])
-            wait_s = float(query.get("wait", ["0"])[0])
         except (KeyError, ValueError) as error:
             return _answer(
                 start_response, http.HTTPStatus.BAD_REQUEST, str(error)
             )
-        self.asked_at = time.monotonic()
-        if environ["PATH_INFO"] == READY_PATH:
-            ready = self._wait_for(model, version, index, wait_s)
-            return _answer(
-                start_response,
-                http.HTTPStatus.OK if ready else http.HTTPStatus.NOT_FOUND,
-            )
         piece = self._find(model, version, index)
         if piece is None:
             return _answer(start_response, http.HTTPStatus.NOT_FOUND)
@@ -127,22 +132,29 @@
             self.sent_bytes += len(piece)
         return []
 
-    def _wait_for(
-        self, model: str, version: int, index: int, wait_s: float
-    ) -> bool:
-        """Wait until a piece is here; False if it does not come."""
+    def _have(
+        self,
+        model: str,
+        version: int,
+        known: int,
+        wait_s: float,
+        start_response,
+    ):
+        store = self.find_store(model, version)
         end = time.monotonic() + min(wait_s, MAX_WAIT_S)
-        while True:
-            store = self.find_store(model, version)
-            if store is not None and index in store.pieces:
-                return True
-            left_s = end - time.monotonic()
-            if left_s <= 0:
-                return False
-            if store is not None:
-                store.changed.wait(left_s)
-            else:
-                eventlet.sleep(min(left_s, STORE_CHECK_S))
+        if store is None and self.holds(model, version):
+            # All pieces lie at the target, which holds this version.
+            everything = encode_indexes(range(self.piece_count()))
+            if known:
+                eventlet.sleep(min(wait_s, MAX_WAIT_S))
+            return _answer(start_response, http.HTTPStatus.OK, everything)
+        if store is None:
+            return _answer(start_response, http.HTTPStatus.NOT_FOUND)
+        while len(store.pieces) == known and time.monotonic() < end:
+            store.changed.wait(end - time.monotonic())
+        return _answer(
+            start_response, http.HTTPStatus.OK, encode_indexes(store.pieces)
+        )
 
     def _find(self, model: str, version: int, index: int) -> bytes | None:
         store = self.find_store(model, version)
@@ -162,6 +174,16 @@
         return piece
 
 
+def encode_indexes(indexes: Iterable[int]) -> bytes:
+    """Return a set of indexes as text."""
+    return ",".join(str(index) for index in sorted(indexes)).encode()
+
+
+def decode_indexes(data: bytes) -> set[int]:
+    """Read a set of indexes; what is no number is left out."""
+    return {int(part) for part in data.split(b",") if part.isdigit()}
+
+
 def _answer(start_response, status: http.HTTPStatus, body: bytes | str = b""):
     if isinstance(body, str):
         body = body.encode()
