First readers by name, takeover of silent agents, resets are not an end

Ages are now shared in the datagrams between entries and agents; unknown ones bind at once. - The margin before the bound was less than a wait inside a busy target.

--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -15,6 +15,11 @@
 
 # Version history that is kept for judging which weights may still serve.
 MAX_NAMED = 16
+# Versions that were named longer ago bind as if they always had been.
+RECENT_S = 30.0
+MS_PER_S = 1000
+# Stands for a version that was named before this process could see it.
+NOT_KNOWN = float("-inf")
 
 
 class View:
@@ -23,7 +28,8 @@
     Attributes
     ----------
     named_at
-        Monotonic time at which each version of a model was first seen.
+        Monotonic time at which each version of a model was named, as far
+        as known.
     on_change
         Called, without arguments, after each change.
     """
@@ -84,23 +90,65 @@
         self.set_targets(kept)
 
     def set_named(self, named: list[_target.NamedVersion]) -> None:
-        """Take the versions that are named; a lower one is ignored."""
+        """Take the versions that are named; a lower one is ignored.
+
+        When those of the first list were named is not known.
+        """
+        moment = time.monotonic() if self.versions_known else NOT_KNOWN
         self.versions_known = True
-        now = time.monotonic()
         for entry in named:
-            if self.named.get(entry.model, 0) >= entry.version:
-                continue
-            self.named[entry.model] = entry.version
-            seen = self.named_at.setdefault(entry.model, {})
-            seen[entry.version] = now
-            while len(seen) > MAX_NAMED:
-                del seen[min(seen)]
-            LOG.info(
-                "weights named",
-                extra={"model": entry.model, "version": entry.version},
-            )
+            if self.named.get(entry.model, 0) < entry.version:
+                self._name(entry.model, entry.version, moment)
         self._notify()
 
+    def learn_named(
+        self,
+        model: ids.ModelName,
+        version: ids.WeightsVersion,
+        age_s: float | None,
+    ) -> None:
+        """Take from another process that a version was named.
+
+        Parameters
+        ----------
+        age_s
+            Time since that process saw it, in seconds; None if it does not
+            know.
+        """
+        moment = NOT_KNOWN if age_s is None else time.monotonic() - age_s
+        known = self.named_at.get(model, {}).get(version)
+        if known is None and self.named.get(model, 0) < version:
+            self._name(model, version, moment)
+            self._notify()
+        elif known is not None and age_s is not None:
+            if known == NOT_KNOWN or moment < known:
+                self.named_at[model][version] = moment
+
+    def named_ages(self) -> dict[str, dict[int, int | None]]:
+        """Return the time since each recent version was named, in ms."""
+        now = time.monotonic()
+        return {
+            model: {
+                version: _age_ms(now, moment)
+                for version, moment in seen.items()
+                if moment == NOT_KNOWN or now - moment < RECENT_S
+            }
+            for model, seen in self.named_at.items()
+        }
+
+    def _name(
+        self,
+        model: ids.ModelName,
+        version: ids.WeightsVersion,
+        moment: float,
+    ) -> None:
+        self.named[model] = version
+        seen = self.named_at.setdefault(model, {})
+        seen[version] = moment
+        while len(seen) > MAX_NAMED:
+            del seen[min(seen)]
+        LOG.info("weights named", extra={"model": model, "version": version})
+
     def of_service(self, service: ids.ServiceName) -> list[_target.Target]:
         """Return the service's targets, also leaving ones, by id."""
         found = (self.targets or {}).values()
@@ -126,6 +174,10 @@
     )
 
 
+def _age_ms(now: float, moment: float) -> int | None:
+    return None if moment == NOT_KNOWN else int((now - moment) * MS_PER_S)
+
+
 class Signal:
     """Wakes tasks that wait for a change."""
 
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -54,7 +54,9 @@
         """Ask all agents for reports, for ever."""
         while True:
             hello = reports.encode(
-                reports.Subscribe(entry=self.name, named=self.view.named)
+                reports.Subscribe(
+                    entry=self.name, named=self.view.named_ages()
+                )
             )
             for host_ip in self._agent_hosts():
                 try:
@@ -84,6 +86,7 @@
                 self._take(report)
 
     def _take(self, report: reports.LoadReport) -> None:
+        reports.learn_named(self.view, report.named)
         for state in self.book.states.values():
             target = state.target
             if target.address != report.address:
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -10,6 +10,7 @@
 import socket
 
 import eventlet
+from eventlet import hubs
 from eventlet.green import socket as green_socket
 import httptools
 
@@ -157,9 +158,8 @@
             self.sock = None
 
     def _receive(self, timeout_s: float) -> None:
-        self.sock.settimeout(max(timeout_s, 0.001))
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = _receive(self.sock, max(timeout_s, 0.001))
         except OSError as error:
             raise BrokenAnswerError(f"receive: {error}")
         if not data:
@@ -218,3 +218,21 @@
         if self.header("content-length"):
             return Framing.LENGTH
         return Framing.CLOSE
+
+
+def _receive(sock, timeout_s: float) -> bytes:
+    """Return what came; nothing only at an orderly end.
+
+    eventlet's own ``recv`` returns nothing for a connection that was reset
+    too, and an answer without a length would look complete.
+    """
+    while True:
+        try:
+            return sock.fd.recv(READ_BYTES)
+        except BlockingIOError:
+            hubs.trampoline(
+                sock.fd,
+                read=True,
+                timeout=timeout_s,
+                timeout_exc=TimeoutError("silent"),
+            )
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -8,6 +8,9 @@
 import msgspec
 
 
+NamedAges = dict[str, dict[int, int | None]]
+
+
 class Subscribe(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=1
 ):
@@ -16,11 +19,12 @@
     Attributes
     ----------
     named
-        Version of each model's weights that operators name.
+        Time since the sender saw each version of a model named, in ms;
+        None when it does not know.
     """
 
     entry: str
-    named: dict[str, int]
+    named: NamedAges
 
 
 class LoadReport(
@@ -38,6 +42,8 @@
         Whether it takes nothing new because it changes its weights.
     weights
         Version of each model that it holds whole.
+    named
+        As in a subscription.
     """
 
     address: str
@@ -46,6 +52,7 @@
     waiting: int
     switching: bool
     weights: dict[str, int]
+    named: NamedAges
 
 
 Message = Subscribe | LoadReport
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -79,9 +79,13 @@
         """
         watchers = [
             eventlet.spawn(
-                self.client.watch, peer.host_ip, self.store, self._note_have
+                self.client.watch,
+                host_ip,
+                self.store,
+                self._note_have,
+                self._note_gone,
             )
-            for peer in self.swarm.watched(len(self.store.digests))
+            for host_ip in self.swarm.watched()
         ]
         try:
             self._fetch_all()
@@ -132,9 +136,22 @@
             LOG.warning("staged not read", extra={"reason": error.message})
 
     def _fetch_all(self) -> None:
-        able_at = time.monotonic()
+        begun = time.monotonic()
         while self.store.missing:
             if self.wanted() != self.store.version:
+                LOG.info(
+                    "weights superseded",
+                    extra={
+                        "version": self.store.version,
+                        "missing": self.store.missing,
+                        "from_origin": self.from_origin,
+                        "from_peers": self.from_peers,
+                        "peers_gone": sorted(self.swarm.gone),
+                        "peers_have": {
+                            h: len(have) for h, have in self.have.items()
+                        },
+                    },
+                )
                 raise SupersededError(code=errors.ResultCode.ORIGIN_CHANGED)
             choice = None
             if len(self.in_flight) < TRANSFERS_AT_ONCE:
@@ -148,10 +165,8 @@
                     self.have,
                     self.asked,
                     origin_free=self.asked[""] < ORIGIN_CALLS,
-                    stalled_s=time.monotonic() - able_at,
+                    age_s=time.monotonic() - begun,
                 )
-            if choice is not None or self.in_flight:
-                able_at = time.monotonic()
             if choice is None:
                 self.store.changed.wait(CHECK_S)
                 continue
@@ -199,3 +214,10 @@
     def _note_have(self, host_ip: str, indexes: set[int]) -> None:
         self.have[host_ip] = indexes
         self.store.changed.send()
+
+    def _note_gone(self, host_ip: str, gone: bool) -> None:
+        if gone:
+            self.swarm.gone.add(host_ip)
+        else:
+            self.swarm.gone.discard(host_ip)
+        self.store.changed.send()
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -93,7 +93,7 @@
             try:
                 step()
             except _bring.SupersededError:
-                LOG.info("weights superseded")
+                continue
             except errors.ZinniadykeError as error:
                 LOG.warning("weights", extra={"reason": error.message})
                 eventlet.sleep(RETRY_S)
@@ -293,7 +293,7 @@
         me = _pick.Peer(
             host_ip=my_ip, region=self.settings.host.region, holds=False
         )
-        return _pick.Swarm(me=me, peers=peers)
+        return _pick.Swarm(me=me, peers=peers, count=self._piece_count())
 
     def _holds(self, model: str, version: int) -> bool:
         return self._held(ids.ModelName(model)) == version
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -6,10 +6,10 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+import msgspec
 
 from zinniadyke import directory
 from zinniadyke import errors
-from zinniadyke import ids
 from zinniadyke import platform
 from zinniadyke import reports
 
@@ -67,7 +67,7 @@
                 continue
             if isinstance(message, reports.Subscribe):
                 self.subscribers[sender] = time.monotonic()
-                self._learn(message)
+                reports.learn_named(self.view, message.named)
 
     def run(self) -> None:
         """Read and send reports, for ever."""
@@ -102,12 +102,13 @@
                 waiting=report.waiting,
                 switching=switching,
                 weights=report.weights,
+                named=self.view.named_ages(),
             )
         )
 
     def _send(self, report: reports.LoadReport) -> None:
         now = time.monotonic()
-        if report == self.last_sent and now < self.last_sent_at + REPEAT_S:
+        if self._same(report) and now < self.last_sent_at + REPEAT_S:
             return
         self.last_sent, self.last_sent_at = report, now
         data = reports.encode(report)
@@ -120,23 +121,19 @@
             except OSError as error:
                 LOG.debug("not sent", extra={"reason": str(error)})
 
+    def _same(self, report: reports.LoadReport) -> bool:
+        """Whether nothing but ages has changed since the last report."""
+        last = self.last_sent
+        return last is not None and report == msgspec.structs.replace(
+            last, named=report.named
+        )
+
     def _note_failure(self, error: errors.EngineError) -> None:
         self.failures += 1
         if self.failures == FAILURES_TO_DOWN:
             LOG.warning("target silent", extra={"reason": error.message})
             self.latest = None
 
-    def _learn(self, message: reports.Subscribe) -> None:
-        newer = [
-            directory.NamedVersion(
-                model=ids.ModelName(model), version=ids.WeightsVersion(version)
-            )
-            for model, version in message.named.items()
-            if self.view.named.get(model, 0) < version
-        ]
-        if newer:
-            self.view.set_named(newer)
-
     def _layers(self) -> int:
         if self.view.configuration is None:
             return 0
--- a/zinniadyke/sidecar/_pick.py
+++ b/zinniadyke/sidecar/_pick.py
@@ -7,6 +7,7 @@
 entered once, and uploads spread because pieces rotate over the hosts.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 import enum
@@ -14,10 +15,16 @@
 
 import msgspec
 
-# Time without any piece to ask for after which this agent does the duty of
-# another: first the pieces it relays, then all.
-RELAY_STALL_S = 1.0
-ANY_STALL_S = 2.0
+from zinniadyke import rendezvous
+
+# Time after which a piece that nobody seems to have is read from the origin
+# by those who relay it, then by all. The origin has sent every piece once
+# after some 1.7 s.
+RELAY_STALL_S = 2.5
+ANY_STALL_S = 3.5
+# Agents before this one, in the order of a piece, that it watches to do
+# their part when they are gone.
+TAKEOVER_REACH = 1
 
 
 class SourceKind(enum.Enum):
@@ -53,50 +60,93 @@
         return SourceKind.PEER if self.host_ip else SourceKind.ORIGIN
 
 
-class Swarm(msgspec.Struct, frozen=True, kw_only=True):
-    """The agents that share a version, in an order all of them know."""
+class Swarm:
+    """The agents that share a version.
+
+    Who reads a piece first, and who relays it, follows from names alone, so
+    that agents whose lists differ by a few still agree on most pieces.
+
+    Attributes
+    ----------
+    gone
+        Hosts of agents that do not answer; the next in order does their
+        part.
+    """
+
+    def __init__(self, *, me: Peer, peers: list[Peer], count: int) -> None:
+        """Assign ``count`` pieces."""
+        self.me = me
+        self.peers = peers
+        self.gone: set[str] = set()
+        self.regions = {p.host_ip: p.region for p in peers}
+        regional = [p for p in peers if p.region == me.region]
+        self.readers = _assign(count, [p.host_ip for p in peers])
+        self.relays = _assign(count, [p.host_ip for p in regional])
 
-    me: Peer
-    peers: list[Peer]
+    @property
+    def holders(self) -> list[Peer]:
+        """Agents whose targets held the version before."""
+        return [
+            p for p in self.peers if p.holds and p.host_ip not in self.gone
+        ]
 
     def is_first_reader(self, index: int) -> bool:
         """Whether this agent takes a piece from the origin."""
-        if any(p.holds for p in self.peers):
-            return False
-        return not self.peers or (
-            self.peers[index % len(self.peers)].host_ip == self.me.host_ip
-        )
+        return not self.holders and self._is_first(self.readers[index])
 
     def is_relay(self, index: int) -> bool:
         """Whether this agent brings a piece into its region."""
-        if not self.peers:
-            return True
-        first = self.peers[index % len(self.peers)]
-        holders = [p for p in self.peers if p.holds]
+        holders = self.holders
         if holders:
             if any(p.region == self.me.region for p in holders):
                 return False
-        elif first.region == self.me.region:
-            return False
-        regional = [p for p in self.peers if p.region == self.me.region]
-        place = (index // len(self.peers)) % max(len(regional), 1)
-        return bool(regional) and (regional[place].host_ip == self.me.host_ip)
-
-    def watched(self, count: int) -> list[Peer]:
-        """Return the peers whose pieces this agent must know of."""
+        elif self.readers[index]:
+            first = self.readers[index][0]
+            if self.regions.get(first) == self.me.region:
+                return False
+        return self._is_first(self.relays[index])
+
+    def watched(self) -> list[str]:
+        """Return the hosts whose pieces this agent must know of."""
         wanted = {p.host_ip for p in self.peers if p.region == self.me.region}
-        holders = [p for p in self.peers if p.holds]
-        near = any(p.region == self.me.region for p in holders)
-        if holders and not near:
+        holders = self.holders
+        if not any(p.region == self.me.region for p in holders):
             wanted.update(p.host_ip for p in holders)
-        for index in range(count):
+        for index, order in enumerate(self.readers):
             if self.is_relay(index):
-                wanted.add(self.peers[index % len(self.peers)].host_ip)
-        return [
-            p
-            for p in self.peers
-            if p.host_ip in wanted and p.host_ip != self.me.host_ip
-        ]
+                wanted.update(order[:1])
+            if self.me.host_ip in order[: TAKEOVER_REACH + 1]:
+                wanted.update(order[:TAKEOVER_REACH])
+        wanted.discard(self.me.host_ip)
+        return sorted(wanted)
+
+    def _is_first(self, order: list[str]) -> bool:
+        for host_ip in order:
+            if host_ip == self.me.host_ip:
+                return True
+            if host_ip not in self.gone:
+                return False
+        return not order
+
+
+def _assign(count: int, hosts: list[str]) -> list[list[str]]:
+    """Return the order in which hosts are responsible for each piece.
+
+    The order of a piece follows from a hash; the first place is given out
+    evenly.
+    """
+    if not hosts:
+        return [[] for _ in range(count)]
+    most = -(-count // len(hosts))
+    given: collections.Counter[str] = collections.Counter()
+    orders = []
+    for index in range(count):
+        order = sorted(hosts, key=lambda h: rendezvous.weight(str(index), h))
+        first = next(h for h in order if given[h] < most)
+        given[first] += 1
+        order.remove(first)
+        orders.append([first, *order])
+    return orders
 
 
 def pick(
@@ -106,7 +156,7 @@
     asked: Mapping[str, int],
     *,
     origin_free: bool,
-    stalled_s: float,
+    age_s: float,
 ) -> Choice | None:
     """Return the next piece to ask for; None if none can be had now.
 
@@ -120,29 +170,25 @@
         Pieces that are asked of each peer now, by host.
     origin_free
         Whether another call to the origin is allowed.
-    stalled_s
-        Time since a piece could last be asked for, in seconds.
+    age_s
+        Time since this agent began to fetch the version, in seconds.
     """
-    regions = {p.host_ip: p.region for p in swarm.peers}
-    near = [h for h in have if regions.get(h) == swarm.me.region]
+    near = [h for h in have if swarm.regions.get(h) == swarm.me.region]
     far = [h for h in have if h not in near]
     best, best_rank = None, None
     for index in missing:
         here = [h for h in near if index in have[h]]
         there = [h for h in far if index in have[h]]
         if here:
-            rank = (2, len(here))
-            sources = here
-        elif there and (swarm.is_relay(index) or stalled_s > RELAY_STALL_S):
-            rank = (1, len(there))
-            sources = there
-        elif origin_free and _may_read(swarm, index, stalled_s):
-            rank = (0, 0)
-            sources = [""]
+            rank, sources = (2, len(here)), here
+        elif there and (swarm.is_relay(index) or age_s > RELAY_STALL_S):
+            rank, sources = (1, len(there)), there
+        elif origin_free and _may_read(swarm, index, bool(there), age_s):
+            rank, sources = (0, 0), [""]
         else:
             continue
-        busiest = min(asked.get(h, 0) for h in sources)
-        rank = (rank[0], busiest, rank[1], random.random())
+        least = min(asked.get(h, 0) for h in sources)
+        rank = (rank[0], least, rank[1], random.random())
         if best_rank is None or rank < best_rank:
             host = min(
                 sources, key=lambda h: (asked.get(h, 0), random.random())
@@ -151,9 +197,12 @@
     return best
 
 
-def _may_read(swarm: Swarm, index: int, stalled_s: float) -> bool:
-    return (
-        swarm.is_first_reader(index)
-        or stalled_s > ANY_STALL_S
-        or (stalled_s > RELAY_STALL_S and swarm.is_relay(index))
+def _may_read(swarm: Swarm, index: int, seen: bool, age_s: float) -> bool:
+    """Whether this agent reads a piece from the origin now."""
+    if swarm.is_first_reader(index):
+        return True
+    if seen:
+        return False
+    return age_s > ANY_STALL_S or (
+        age_s > RELAY_STALL_S and swarm.is_relay(index)
     )
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -10,7 +10,7 @@
 from zinniadyke import ids
 
 # Kept back from the bound: reading back, the order and the load itself.
-SWITCH_MARGIN_S = 0.8
+SWITCH_MARGIN_S = 1.0
 # Targets switch one after the other over at most this time; each is out for
 # the load of some 0.3 s.
 SWITCH_WINDOW_S = 1.6
