--- /dev/null
+++ b/tests/gateway/deployment.py
@@ -0,0 +1,179 @@
+"""A gateway on stand-ins, for tests."""
+
+import contextlib
+import http.client
+import socket
+import time
+
+import eventlet
+
+from zinniadyke import fakes
+from zinniadyke import gateway
+from zinniadyke import settings
+
+KEY = "key-1"
+
+
+def wait_until(condition, timeout_s=5.0):
+    """Wait until a condition holds; whether it did in time."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return True
+        eventlet.sleep(0.01)
+    return condition()
+
+
+def free_port():
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, **more):
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": f"/{name}/",
+        "kind": "non_idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": "desk",
+        "max_attempts": 2,
+        **more,
+    }
+
+
+ROUTES = [
+    route("once"),
+    route("again", kind="idempotent"),
+    route("stream", kind="streaming", stream_resume=True),
+    route("stream-once", kind="streaming"),
+    route("short", timeout_ms=300),
+    route("open", public=True),
+]
+
+
+def configuration(version=1, routes=None, **more):
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": ROUTES if routes is None else routes,
+        "services": [{"name": "desk", "max_connections": 50}],
+        "limits": {
+            "max_header_bytes": 2000,
+            "max_body_bytes": 5000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 3000,
+        },
+        "tenants": [{"name": "clinic", "api_keys": [KEY]}],
+        **more,
+    }
+
+
+class Deployment:
+    """A store, a gateway and scripted targets."""
+
+    def __init__(self, **bounds):
+        self.store = fakes.FakeStore()
+        self.targets = []
+        self.gateway = gateway.Gateway(
+            loaded=settings.PlatformProcessSettings(
+                host=settings.HostSection(
+                    name="e1",
+                    zone="z1",
+                    region="r1",
+                    ip="127.0.0.1",
+                    ports=(free_port(), 0),
+                ),
+                store=settings.StoreSection(address=self.store.address),
+                listen=settings.ListenSection(
+                    requests=f"127.0.0.1:{free_port()}",
+                    ready=f"127.0.0.1:{free_port()}",
+                ),
+                bounds=settings.BoundsSection(retry_extra=100.0, **bounds),
+            )
+        )
+
+    def configure(self, spec):
+        """Let the operator write a configuration."""
+        self.store.put("config", "main", spec)
+
+    def add_target(self, script, name=None, **more):
+        """Register a scripted target."""
+        target = fakes.ScriptedTarget(script=script)
+        self.targets.append(target)
+        target.name = name or f"t{len(self.targets)}"
+        target.spec = {
+            "service": "desk",
+            "address": target.address,
+            "zone": "z1",
+            "slots": 4,
+            "state": "ready",
+            "seq": 1,
+            **more,
+        }
+        self.store.put("servers", target.name, target.spec)
+        return target
+
+    def start(self):
+        """Serve, and wait until the gateway knows all targets."""
+        self.gateway.start()
+        names = {t.name for t in self.targets}
+        assert wait_until(
+            lambda: (
+                self.gateway.ready and names <= set(self.gateway.view.targets)
+            )
+        )
+
+    def connect(self):
+        """Return a raw connection to the gateway."""
+        host, _, port = self.gateway.settings.listen.requests.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.settimeout(5.0)
+        return sock
+
+    def ask(self, path, method="POST", body=b"", key=KEY, **more):
+        """Send a request; return status, headers, body and wholeness."""
+        address = self.gateway.settings.listen.requests
+        connection = http.client.HTTPConnection(address, timeout=5.0)
+        headers = {
+            "Host": "h.example",
+            "X-Zinniadyke-Request-Id": "r1",
+            "X-Zinniadyke-Deadline-Ms": "3000",
+            **{name.replace("_", "-"): value for name, value in more.items()},
+        }
+        if key:
+            headers["X-Zinniadyke-Key"] = key
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        try:
+            data, whole = answer.read(), True
+        except (http.client.IncompleteRead, ConnectionError) as error:
+            data, whole = getattr(error, "partial", b""), False
+        connection.close()
+        return answer.status, answer.headers, data, whole
+
+    def stop(self):
+        """Stop everything."""
+        self.gateway.close()
+        for target in self.targets:
+            target.stop()
+        self.store.stop()
+
+
+@contextlib.contextmanager
+def deployment(*scripts, spec=None, **bounds):
+    """Run a gateway before one target for each script."""
+    made = Deployment(**bounds)
+    try:
+        made.configure(spec or configuration())
+        for script in scripts:
+            made.add_target(script)
+        made.start()
+        yield made
+    finally:
+        made.stop()
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -34,6 +34,8 @@
 # Kept back from the grace period for closing connections.
 EXIT_MARGIN_S = 0.5
 STOPPING_RETRY_S = 0.05
+STOP_CHECK_S = 0.05
+ACCEPT_RETRY_S = 0.05
 NOT_READY_RETRY_S = 0.3
 MS_PER_S = 1000.0
 QUIET = logging.getLogger("zinniadyke.gateway.wsgi")
@@ -73,6 +75,7 @@
             book=self.book,
             on_report=self.forwarder.pump,
         )
+        self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.callers: set[_caller.Caller] = set()
         self.stopping_since: float | None = None
         self.requests_socket = listening.listen(loaded.listen.requests)
@@ -85,12 +88,10 @@
 
     def start(self) -> None:
         """Serve until :meth:`shut_down`."""
-        for follower in self.followers:
-            eventlet.spawn_n(follower.run)
-        eventlet.spawn_n(self.loads.subscribe)
-        eventlet.spawn_n(self.loads.receive)
-        eventlet.spawn_n(self._serve_ready)
-        eventlet.spawn_n(self._accept)
+        tasks = [follower.run for follower in self.followers]
+        tasks += [self.loads.subscribe, self.loads.receive]
+        tasks += [self._serve_ready, self._accept]
+        self.tasks = [eventlet.spawn(task) for task in tasks]
 
     def shut_down(self) -> bool:
         """End without cutting off requests; whether all had ended."""
@@ -105,16 +106,24 @@
                     caller.end_when_idle()
             if rotated and not self.callers:
                 break
-            eventlet.sleep(0.05)
+            eventlet.sleep(STOP_CHECK_S)
         return not self.callers
 
+    def close(self) -> None:
+        """Drop everything at once, as the end of the process would."""
+        for task in self.tasks:
+            task.kill()
+        for sock in (self.requests_socket, self.ready_socket):
+            sock.close()
+        self.loads.sock.close()
+
     def _accept(self) -> None:
         while True:
             try:
                 sock, _ = self.requests_socket.accept()
             except OSError as error:
                 LOG.warning("accept", extra={"reason": str(error)})
-                eventlet.sleep(0.05)
+                eventlet.sleep(ACCEPT_RETRY_S)
                 continue
             eventlet.spawn_n(self._serve_caller, sock)
 
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 
+import eventlet
 from eventlet.green import socket as green_socket
 
 from zinniadyke import directory
@@ -15,6 +16,8 @@
 # Agents forget an entry that has not asked for this many periods.
 SUBSCRIBE_S = 0.5
 MAX_DATAGRAM_BYTES = 2048
+# Pause after a datagram that could not be read.
+RETRY_S = 0.02
 
 
 class LoadListener:
@@ -81,6 +84,7 @@
                 report = reports.decode(data)
             except (OSError, ValueError) as error:
                 LOG.warning("bad report", extra={"reason": str(error)})
+                eventlet.sleep(RETRY_S)
                 continue
             if isinstance(report, reports.LoadReport):
                 self._take(report)
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -22,6 +22,8 @@
 # Entries ask every 0.5 s; one that stopped is told nothing any more.
 SUBSCRIPTION_S = 2.0
 MAX_DATAGRAM_BYTES = 2048
+# Pause after a datagram that could not be read.
+RETRY_S = 0.02
 # Failed readings in a row after which the target counts as down.
 FAILURES_TO_DOWN = 3
 
@@ -64,6 +66,7 @@
                 message = reports.decode(data)
             except (OSError, ValueError) as error:
                 LOG.warning("bad datagram", extra={"reason": str(error)})
+                eventlet.sleep(RETRY_S)
                 continue
             if isinstance(message, reports.Subscribe):
                 self.subscribers[sender] = time.monotonic()
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -98,7 +98,7 @@
 
     def __call__(self, environ, start_response):
         """Answer one call."""
-        query = parse.parse_qs(environ["QUERY_STRING"])
+        query = parse.parse_qs(environ.get("QUERY_STRING", ""))
         try:
             model = query["model"][0]
             version = int(query["version"][0])
