Requests leave older weights in time; layers are judged when known

Change: an attempt that has not begun 0.2 s before the bound is taken back; targets are judged again when the layer count is known.

--- /dev/null
+++ b/tests/gateway/test_versions.py
@@ -0,0 +1,125 @@
+import time
+
+import eventlet
+
+from tests.gateway import deployment as deploy
+from zinniadyke import directory
+from zinniadyke.gateway import _book
+from zinniadyke import ids
+
+ENGINE = {"slots": 4, "models": [{"name": "m"}], "layers": 2, "chunks": 4}
+ROUTE = deploy.route("s", kind="streaming", stream_resume=True)
+
+
+def model_configuration():
+    return deploy.configuration(
+        routes=[ROUTE], services=[{"name": "desk", "engine": ENGINE}]
+    )
+
+
+def answer(exchange):
+    exchange.head(framing="Transfer-Encoding: chunked")
+    exchange.chunk(b"id: 1\ndata: x\n\n")
+    exchange.chunk(b"")
+
+
+def held(version, end=2):
+    return {
+        "models": [{"name": "m", "version": version}],
+        "layers": {"from": 0, "target": end, "version": version},
+    }
+
+
+def make(*scripts, **bounds):
+    made = deploy.Deployment(**bounds)
+    made.configure(model_configuration())
+    for number, script in enumerate(scripts):
+        made.add_target(script, **held(1 + number))
+    return made
+
+
+def ask(made):
+    return made.ask("/s/x", X_Zinniadyke_Model="m")[0]
+
+
+def test_older_weights_serve_until_the_bound_is_near():
+    made = make(answer, version_ms=1500)
+    try:
+        made.start()
+        assert deploy.wait_until(lambda: made.gateway.view.versions_known)
+        made.store.put("versions", "m", {"model": "m", "version": 2})
+        assert deploy.wait_until(lambda: made.gateway.view.named)
+        assert ask(made) == 200
+        eventlet.sleep(1.5 - _book.VERSION_MARGIN_S + 0.05)
+        assert ask(made) == 503
+        assert len(made.targets[0].seen) == 1
+    finally:
+        made.stop()
+
+
+def test_version_that_was_named_before_the_start_binds_at_once():
+    made = make(answer, answer)
+    try:
+        made.store.put("versions", "m", {"model": "m", "version": 2})
+        made.start()
+        for _ in range(4):
+            assert ask(made) == 200
+        assert [len(t.seen) for t in made.targets] == [0, 4]
+    finally:
+        made.stop()
+
+
+def test_request_that_waits_at_older_weights_is_taken_back():
+    closed = []
+
+    def wait(exchange):
+        closed.append(exchange.wait_closed(3.0))
+
+    made = make(wait, answer, version_ms=1500)
+    try:
+        made.start()
+        made.store.put(
+            "servers", "t2", {**made.targets[1].spec, "state": "draining"}
+        )
+        made.store.put("versions", "m", {"model": "m", "version": 2})
+        assert deploy.wait_until(
+            lambda: (
+                made.gateway.view.named
+                and made.gateway.view.targets["t2"].leaving
+            )
+        )
+        begun = time.monotonic()
+        asked = eventlet.spawn(ask, made)
+        assert deploy.wait_until(lambda: made.targets[0].seen)
+        made.store.put("servers", "t2", made.targets[1].spec)
+        assert asked.wait() == 200
+        assert time.monotonic() - begun < 1.5
+        assert closed == [True]
+    finally:
+        made.stop()
+
+
+def test_target_without_all_layers_gets_nothing():
+    made = deploy.Deployment()
+    try:
+        made.configure(model_configuration())
+        made.add_target(answer, **held(1, end=1))
+        made.add_target(answer)
+        made.start()
+        assert ask(made) == 503
+    finally:
+        made.stop()
+
+
+def test_ages_of_versions_are_learned():
+    view = directory.View()
+    model, version = ids.ModelName("m"), ids.WeightsVersion(3)
+    named = directory.NamedVersion(model=model, version=version)
+    view.set_named([named])
+    assert view.named_ages() == {"m": {3: None}}
+    view.learn_named(model, version, 2.0)
+    assert 1900 < view.named_ages()["m"][3] < 2500
+    view.learn_named(model, version, 1.0)
+    assert view.named_ages()["m"][3] > 1900
+    view.learn_named(model, version, None)
+    assert view.named_ages()["m"][3] is not None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,143 @@
+import pytest
+
+from tests.gateway import deployment as deploy
+from zinniadyke import directory
+from zinniadyke import errors
+from zinniadyke import fakes
+from zinniadyke import platform
+from zinniadyke.platform import _decode_configuration
+from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _store
+
+
+@pytest.fixture
+def store():
+    made = fakes.FakeStore(page=2)
+    yield made
+    made.stop()
+
+
+def stored(name, spec):
+    return _store.StoreObject(
+        metadata=_store.ObjectMetadata(name=name), spec=spec
+    )
+
+
+def registration(**more):
+    fields = {
+        "service": '"s"',
+        "address": '"1.2.3.4:5"',
+        "zone": '"z"',
+        "state": '"ready"',
+        **more,
+    }
+    inner = ", ".join(f'"{n}": {v}' for n, v in fields.items())
+    return stored("t1", ("{" + inner + "}").encode())
+
+
+def test_list_takes_all_pages(store):
+    for number in range(5):
+        store.put("servers", f"t{number}", {})
+    client = _store.StoreClient(address=store.address)
+    listed = client.list_objects("servers")
+    assert [o.metadata.name for o in listed.objects] == [
+        f"t{number}" for number in range(5)
+    ]
+    assert store.reads == 3
+
+
+def test_watch_brings_changes_and_tells_of_lost_history(store):
+    client = _store.StoreClient(address=store.address)
+    revision = client.list_objects("servers").revision
+    store.put("servers", "t1", {})
+    store.remove("servers", "t1")
+    found = client.watch("servers", revision, 1.0)
+    assert [c.removed for c in found.changes] == [False, True]
+    assert client.watch("servers", found.revision, 0.05).changes == []
+    store.forget_history()
+    with pytest.raises(_store.HistoryGoneError):
+        client.watch("servers", revision, 0.05)
+
+
+def test_store_that_refuses_or_is_silent_is_an_error(store):
+    client = _store.StoreClient(address=store.address)
+    store.down = 429
+    with pytest.raises(errors.PlatformError):
+        client.list_objects("servers")
+    store.down = 0
+    store.silent = True
+    with pytest.raises(errors.PlatformError):
+        client.watch("servers", 1, 0.05)
+    store.silent = False
+    assert client.list_objects("servers").objects == []
+
+
+def test_follower_recovers_from_an_outage(store):
+    view = directory.View()
+    follower = platform.follow_configuration(
+        _store.StoreClient(address=store.address), view
+    )
+    store.put("config", "main", deploy.configuration(1))
+    follower.step()
+    store.down = 503
+    with pytest.raises(errors.PlatformError):
+        follower.step()
+    store.down = 0
+    store.put("config", "main", deploy.configuration(2))
+    follower.revision = None
+    follower.step()
+    assert view.configuration.version == 2
+
+
+def test_registration_with_layers_is_whole_only_with_all():
+    spec = {
+        "models": '[{"name": "m", "version": 3, "adapters": []}]',
+        "layers": '{"from": 0, "target": 4, "version": 3}',
+        "born": "12",
+    }
+    found = _decode_target.decode_target(registration(**spec), {"s": 4})
+    assert found.weights == {"m": 3}
+    assert found.incarnation == ("t1", 12)
+    for layers in ({"s": 5}, {}):
+        found = _decode_target.decode_target(registration(**spec), layers)
+        assert found.weights == {}
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"state": '"resting"'},
+        {"state": "3"},
+        {"address": '"nowhere"'},
+        {"service": "null"},
+        {"slots": '"many"'},
+        {"born": "1.5"},
+    ],
+)
+def test_unreadable_registration_names_no_target(more):
+    with pytest.raises(ValueError):
+        _decode_target.decode_target(registration(**more), {})
+
+
+def test_longest_prefix_wins_and_kinds_tell_what_may_be_repeated():
+    spec = (
+        b'{"version": 4, "routes": ['
+        b'{"name": "a", "host": "H.example", "path_prefix": "/x/",'
+        b' "kind": "idempotent", "service": "s"},'
+        b'{"name": "b", "host": "h.example", "path_prefix": "/x/y/",'
+        b' "kind": "streaming", "stream_resume": true,'
+        b' "traffic_split": [{"service": "s", "weight": 90},'
+        b' {"service": "t", "weight": 10}]},'
+        b'{"name": "c", "host": "h.example", "path_prefix": "/z/",'
+        b' "kind": "unheard", "service": "s"}]}'
+    )
+    found = _decode_configuration.decode_configuration(stored("main", spec))
+    route = found.find_route("h.example", "/x/y/z")
+    assert route.name == "b"
+    assert route.repeat is directory.Repeat.RESUME
+    assert [b.weight for b in route.backends] == [90, 10]
+    assert found.find_route("h.example", "/x/z").name == "a"
+    assert found.find_route("h.example", "/x") is None
+    unheard = found.find_route("h.example", "/z/")
+    assert unheard.repeat is directory.Repeat.NEVER
+    assert found.workspaces is None
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -93,6 +93,10 @@
         self.revision = None
         self.step()
 
+    def retake(self) -> None:
+        """Hand the objects over again, unchanged."""
+        self.take({**self.lapsed, **self.objects})
+
     def step(self) -> None:
         """Read the list, or wait for the next changes."""
         if self.revision is None:
@@ -107,7 +111,7 @@
             changed = self._apply(changes)
         self.revision = revision
         if self._drop_lapsed() or changed:
-            self.take({**self.lapsed, **self.objects})
+            self.retake()
 
     def _replace(self, objects: dict) -> bool:
         for name, found in self.objects.items():
--- a/zinniadyke/gateway/_book.py
+++ b/zinniadyke/gateway/_book.py
@@ -12,6 +12,8 @@
 # Requests stop going to targets with older weights this long before the
 # bound, as one may still wait for its turn there.
 VERSION_MARGIN_S = 0.8
+# A request that has not begun on older weights by then is taken back.
+BEGIN_MARGIN_S = 0.2
 
 
 class TargetBook:
@@ -85,6 +87,19 @@
             default=ids.WeightsVersion(0),
         )
 
+    def begin_by(self, state: _target_state.TargetState, model: str) -> float:
+        """Return until when a request may begin there, monotonic seconds."""
+        held = state.weights_of(model)
+        seen = self.view.named_at.get(ids.ModelName(model), {})
+        return (
+            min(
+                (at for version, at in seen.items() if version > held),
+                default=float("inf"),
+            )
+            + self.version_bound_s
+            - BEGIN_MARGIN_S
+        )
+
     def awake(
         self, service: ids.ServiceName
     ) -> list[_target_state.TargetState]:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -97,8 +97,9 @@
                 exchange.give_up(attempt)
                 return
             attempt = self._new_attempt(exchange, state)
+            begin_by = self.book.begin_by(state, call.model)
             try:
-                exchange.run(attempt)
+                exchange.run(attempt, begin_by - time.monotonic())
             finally:
                 attempt.close()
                 admission.release(state)
@@ -206,15 +207,23 @@
         self.last_event_id = call.last_event_id
         self.streaming = False
         self.uncertain = False
+        self.begin_s = float("inf")
 
-    def run(self, attempt: _attempt.Attempt) -> None:
-        """Make one attempt and pass on what it brings."""
+    def run(self, attempt: _attempt.Attempt, begin_s: float) -> None:
+        """Make one attempt and pass on what it brings.
+
+        Parameters
+        ----------
+        begin_s
+            Time within which the request must begin there, in seconds.
+        """
+        self.begin_s = begin_s
         self._run(attempt)
         if attempt.outcome is _call.Outcome.BROKEN:
             self.uncertain = True
 
     def _run(self, attempt: _attempt.Attempt) -> None:
-        attempt.begin(self._answer_timeout_s())
+        attempt.begin(min(self._answer_timeout_s(), self.begin_s))
         if attempt.outcome is not None:
             return
         answer = attempt.connection
@@ -269,7 +278,7 @@
     def _relay_stream(self, attempt: _attempt.Attempt) -> None:
         splitter = _events.EventSplitter()
         answer = attempt.connection
-        timeout_s = self._answer_timeout_s()
+        timeout_s = min(self._answer_timeout_s(), self.begin_s)
         try:
             while part := answer.read_part(
                 min(timeout_s, self.call.left_s + _attempt.ANSWER_SLACK_S)
--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -13,6 +13,9 @@
 from zinniadyke import directory
 from zinniadyke.gateway import _request
 
+# Colon, space and line end of a header.
+HEADER_SEPARATORS = 4
+
 
 class RequestParser:
     """Turns the bytes of one connection into requests.
@@ -57,10 +60,7 @@
         except httptools.HttpParserError as error:
             self._reject(http.HTTPStatus.BAD_REQUEST, str(error))
         if not self.in_body and self.head_bytes > self.limits.max_header_bytes:
-            self._reject(
-                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                "the header block is too large",
-            )
+            self._reject_headers()
 
     def on_message_begin(self) -> None:
         """Start a request (called by the parser)."""
@@ -78,6 +78,12 @@
     def on_headers_complete(self) -> None:
         """Note the end of the header block (called by the parser)."""
         self.in_body = True
+        size = len(self.target) + sum(
+            len(name) + len(value) + HEADER_SEPARATORS
+            for name, value in self.headers
+        )
+        if size > self.limits.max_header_bytes:
+            self._reject_headers()
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.awaits_continue = True
@@ -126,6 +132,12 @@
         self.awaits_continue = False
         self.reading_since = None
 
+    def _reject_headers(self) -> None:
+        self._reject(
+            http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the header block is too large",
+        )
+
     def _reject(self, status: http.HTTPStatus, reason: str) -> None:
         if not self.ended:
             self.ended = True
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -86,9 +86,15 @@
     held: HeldLayers | None,
     layer_count: int,
 ) -> dict[ids.ModelName, ids.WeightsVersion]:
-    """Return the version of each model that is held with all layers."""
-    if held is not None and layer_count:
-        if held.start > 0 or held.target < layer_count:
+    """Return the version of each model that is held with all layers.
+
+    Parameters
+    ----------
+    layer_count
+        Layers of a whole model; 0 while that is not known.
+    """
+    if held is not None:
+        if held.start > 0 or not layer_count or held.target < layer_count:
             return {}
     return {
         ids.ModelName(m.name): ids.WeightsVersion(m.version) for m in models
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -56,8 +56,12 @@
 ) -> directory.Follower:
     """Return the follower of the registered targets."""
 
+    known_layers: dict[str, int] = {}
+
     def take(objects: dict[str, _store.StoreObject]) -> None:
         layers = _layer_counts(view)
+        known_layers.clear()
+        known_layers.update(layers)
         targets = {}
         for stored in objects.values():
             try:
@@ -68,7 +72,15 @@
             targets[target.id] = target
         view.set_targets(targets)
 
-    return _follower(store, TARGETS_KIND, take, keep_lapsed=True)
+    follower = _follower(store, TARGETS_KIND, take, keep_lapsed=True)
+
+    def judge_again() -> None:
+        # Whether a target holds a whole model depends on the configuration.
+        if view.targets is not None and _layer_counts(view) != known_layers:
+            follower.retake()
+
+    view.on_change.append(judge_again)
+    return follower
 
 
 def _layer_counts(view: directory.View) -> dict[str, int]:
