Tests of the agents: who asks whom, when to switch, whole loads only

Agents on loopback with stand-ins of the store, model servers and the origin: spoilt, rotten, lost and overtaken pieces, lost answers to orders, dead and restarted parts.

--- /dev/null
+++ b/tests/sidecar/test_schedule.py
@@ -0,0 +1,48 @@
+from zinniadyke.sidecar import _schedule
+
+BOUND_S = 8.0
+BRING_S = 5.5
+
+
+def choose(named_at, held, whole=(), now=0.0):
+    return _schedule.choose_version(
+        named_at, held, whole, now=now, bound_s=BOUND_S, bring_s=BRING_S
+    )
+
+
+def test_newest_is_fetched_if_it_is_there_before_the_older_is_due():
+    assert choose({2: 0.0, 3: 2.0}, held=1, now=2.0) == 3
+
+
+def test_older_is_finished_if_the_newest_would_leave_a_gap():
+    assert choose({2: 0.0, 3: 4.0}, held=1, now=4.0) == 2
+
+
+def test_newest_follows_as_soon_as_the_older_is_here():
+    assert choose({2: 0.0, 3: 4.0}, held=1, whole=[2], now=5.0) == 3
+
+
+def test_older_version_that_is_overdue_is_left_out():
+    assert choose({2: 0.0, 3: 4.0}, held=1, now=8.5) == 3
+
+
+def test_target_without_weights_takes_the_newest():
+    assert choose({2: 0.0, 3: 4.0}, held=0, now=4.0) == 3
+
+
+def test_choice_does_not_flip_while_time_passes():
+    named_at = {2: 0.0, 3: 2.0}
+    chosen = {choose(named_at, 1, now=n / 10) for n in range(20, 80)}
+    assert chosen == {3}
+
+
+def test_targets_switch_one_after_another_before_the_bound():
+    turns = [
+        _schedule.switch_at(100.0, bound_s=BOUND_S, place=n, count=5)
+        for n in range(5)
+    ]
+    assert turns == sorted(turns)
+    assert len(set(turns)) == 5
+    assert turns[-1] == 100.0 + BOUND_S - _schedule.SWITCH_MARGIN_S
+    alone = _schedule.switch_at(100.0, bound_s=BOUND_S, place=0, count=1)
+    assert alone == turns[-1]
--- /dev/null
+++ b/tests/sidecar/test_sidecar.py
@@ -0,0 +1,222 @@
+import contextlib
+import itertools
+
+import eventlet
+
+from tests.gateway import deployment as deploy
+from zinniadyke import fakes
+from zinniadyke import settings
+from zinniadyke import sidecar
+
+PIECES = 8
+MODEL = "m"
+NETWORKS = itertools.count(1)
+
+
+class Fleet:
+    """Agents with model servers on loopback addresses of their own."""
+
+    def __init__(self, versions, version_ms=3000.0):
+        network = next(NETWORKS)
+        self.store = fakes.FakeStore()
+        self.origin = fakes.FakeWeightsOrigin(pieces=PIECES)
+        self.port = deploy.free_port()
+        self.version_ms = version_ms
+        self.ips = [f"127.7.{network}.{n + 1}" for n in range(len(versions))]
+        self.servers = {}
+        self.agents = {}
+        self.store.put("config", "main", self.configuration())
+        for ip, version in zip(self.ips, versions, strict=True):
+            self.servers[ip] = fakes.FakeModelServer(
+                model=MODEL,
+                pieces=PIECES,
+                version=version,
+                address=f"{ip}:0",
+            )
+            self.register(ip)
+        for ip in self.ips:
+            self.start(ip)
+
+    def configuration(self):
+        engine = {
+            "slots": 4,
+            "models": [{"name": MODEL}],
+            "chunks": PIECES,
+            "chunk_bytes": 1024,
+        }
+        return deploy.configuration(
+            routes=[
+                deploy.route(
+                    "s", kind="streaming", stream_resume=True, service="llm"
+                )
+            ],
+            services=[
+                {"name": "llm", "engine": engine},
+                {"name": "origin", "origin": self.origin.address},
+            ],
+        )
+
+    def register(self, ip):
+        server = self.servers[ip]
+        models = []
+        if server.version:
+            models = [{"name": MODEL, "version": server.version}]
+        self.store.put(
+            "servers",
+            f"t-{ip}",
+            {
+                "service": "llm",
+                "address": server.address,
+                "zone": "z1",
+                "slots": 4,
+                "state": "ready",
+                "models": models,
+            },
+        )
+
+    def start(self, ip):
+        made = sidecar.Sidecar(
+            loaded=settings.PlatformProcessSettings(
+                host=settings.HostSection(
+                    name=ip,
+                    zone="z1",
+                    region="r1",
+                    ip=ip,
+                    ports=(self.port, self.port),
+                    link_mbps=100.0,
+                ),
+                store=settings.StoreSection(address=self.store.address),
+                target=settings.TargetSection(
+                    address=self.servers[ip].address, service="llm"
+                ),
+                bounds=settings.BoundsSection(version_ms=self.version_ms),
+            )
+        )
+        made.start()
+        self.agents[ip] = made
+
+    def name(self, version):
+        """Let the operator name a version; agents hear it as from entries."""
+        self.store.put("versions", MODEL, {"model": MODEL, "version": version})
+        for agent in self.agents.values():
+            agent.keeper.view.learn_named(MODEL, version, 0.0)
+
+    def all_hold(self, version, timeout_s=8.0):
+        return deploy.wait_until(
+            lambda: all(
+                s.version == version and not s.busy
+                for s in self.servers.values()
+            ),
+            timeout_s,
+        )
+
+    def check_loads(self):
+        """Check that every load was of whole and right pieces."""
+        for server in self.servers.values():
+            for version, staged in server.loads:
+                assert staged == {
+                    n: fakes.piece_of(version, n) for n in range(PIECES)
+                }
+
+    def stop(self):
+        for agent in self.agents.values():
+            agent.close()
+        for server in self.servers.values():
+            server.stop()
+        self.origin.stop()
+        self.store.stop()
+
+
+@contextlib.contextmanager
+def fleet(*versions, **more):
+    made = Fleet(versions, **more)
+    try:
+        assert deploy.wait_until(
+            lambda: all(
+                a.reporter.latest is not None and a.keeper.view.configuration
+                for a in made.agents.values()
+            )
+        )
+        yield made
+    finally:
+        made.stop()
+
+
+def test_named_version_reaches_all_targets_and_the_origin_is_read_once():
+    with fleet(1, 1, 1) as made:
+        made.name(2)
+        assert made.all_hold(2)
+        made.check_loads()
+        assert made.origin.reads <= PIECES * 1.25
+
+
+def test_empty_target_takes_the_version_of_its_neighbours():
+    with fleet(1, 1, 0) as made:
+        assert made.all_hold(1)
+        made.check_loads()
+        assert made.origin.reads == 0
+
+
+def test_spoilt_pieces_are_never_loaded():
+    with fleet(1, 1) as made:
+        made.origin.spoil = {(2, n) for n in range(0, PIECES, 2)}
+        made.name(2)
+        assert made.all_hold(2)
+        made.check_loads()
+
+
+def test_piece_that_rots_at_the_target_is_mended_before_the_order():
+    with fleet(1) as made:
+        (server,) = made.servers.values()
+        made.name(2)
+        assert deploy.wait_until(
+            lambda: (
+                server.staged.get(0) == fakes.piece_of(2, 0) or server.loads
+            )
+        )
+        server.staged[0] = b"rotten"
+        assert made.all_hold(2)
+        made.check_loads()
+
+
+def test_order_whose_answer_is_lost_is_not_given_twice():
+    with fleet(1) as made:
+        (server,) = made.servers.values()
+        server.lose_answers = 1
+        made.name(2)
+        assert made.all_hold(2)
+        eventlet.sleep(0.5)
+        assert server.orders == 1
+        made.check_loads()
+
+
+def test_version_that_is_overtaken_is_dropped():
+    with fleet(1, 1) as made:
+        made.name(2)
+        made.name(3)
+        assert made.all_hold(3)
+        made.check_loads()
+
+
+def test_agent_that_dies_does_not_hold_up_the_others():
+    with fleet(1, 1, 1, version_ms=6000.0) as made:
+        lost = made.ips[0]
+        made.agents.pop(lost).close()
+        made.name(2)
+        del_server = made.servers.pop(lost)
+        try:
+            assert made.all_hold(2, 10.0)
+            made.check_loads()
+        finally:
+            del_server.stop()
+
+
+def test_restarted_target_is_loaded_again():
+    with fleet(1, 1) as made:
+        server = made.servers[made.ips[0]]
+        server.version = 0
+        server.orders = 0
+        server.staged.clear()
+        made.register(made.ips[0])
+        assert made.all_hold(1)
+        made.check_loads()
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -10,8 +10,8 @@
 import socket
 
 import eventlet
-from eventlet import hubs
 from eventlet.green import socket as green_socket
+from eventlet import hubs
 import httptools
 
 READ_BYTES = 16384
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -55,7 +55,6 @@
     store: _store.StoreClient, view: directory.View
 ) -> directory.Follower:
     """Return the follower of the registered targets."""
-
     known_layers: dict[str, int] = {}
 
     def take(objects: dict[str, _store.StoreObject]) -> None:
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -1,7 +1,7 @@
 """Fetches one version of a model's weights and lays it at the target."""
 
-from collections.abc import Callable
 import collections
+from collections.abc import Callable
 import logging
 import time
 
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -38,6 +38,7 @@
             target=target,
             view=view,
         )
+        self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.keeper = _keeper.WeightsKeeper(
             loaded=loaded,
             view=view,
@@ -52,15 +53,24 @@
 
     def start(self) -> None:
         """Work until the process ends."""
-        for task in (
-            self.peer_server.run,
-            self.reporter.receive,
-            self.reporter.run,
-            self.keeper.fetch,
-            self.keeper.switch,
-        ):
-            eventlet.spawn_n(task)
+        self.tasks = [
+            eventlet.spawn(task)
+            for task in (
+                self.peer_server.run,
+                self.reporter.receive,
+                self.reporter.run,
+                self.keeper.fetch,
+                self.keeper.switch,
+            )
+        ]
 
     def shut_down(self) -> bool:
         """End at once; what lies at the target stays there."""
         return True
+
+    def close(self) -> None:
+        """Drop everything at once, as the end of the process would."""
+        for task in self.tasks:
+            task.kill()
+        self.peer_server.socket.close()
+        self.reporter.sock.close()
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -10,9 +10,9 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import origin
+from zinniadyke import pacing
 from zinniadyke import peers
 from zinniadyke import platform
-from zinniadyke import pacing
 from zinniadyke.weights import _manifest
 from zinniadyke.weights import _origin_window
 from zinniadyke.weights import _plan
