--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -1,7 +1,13 @@
+import os
 import pathlib
 import re
 
+import urllib3
+
+from tests import clock
 from zinniadyke import telemetry
+from zinniadyke.telemetry import _exposition
+from zinniadyke.telemetry import _line_writer
 from zinniadyke.telemetry import _metrics
 
 LIST = pathlib.Path(__file__).parents[1] / "docs/reference/metrics.md"
@@ -24,3 +30,48 @@
     monkeypatch.setattr(_metrics._Sink, "client", Client())
     telemetry.count(telemetry.Metric.REQUESTS, 2, label="1000")
     assert sent == [("requests.1000", 2)]
+
+
+def test_metrics_are_served_as_text():
+    exposition = _exposition.Exposition(address="127.0.0.1:0")
+    try:
+        exposition.count("requests", 2, "1000")
+        exposition.gauge("queue_length", 3, "desk")
+        exposition.timing("request_time", 0.25, "clinic.r1")
+        host, port = exposition.socket.getsockname()
+        answer = urllib3.request("GET", f"http://{host}:{port}/metrics")
+        text = answer.data.decode()
+    finally:
+        exposition.stop()
+    assert 'zinniadyke_requests_total{label="1000"} 2.0' in text
+    assert 'zinniadyke_queue_length{label="desk"} 3.0' in text
+    bucket = 'seconds_bucket{label="clinic.r1",le="0.3"} 1.0'
+    assert f"zinniadyke_request_time_{bucket}" in text
+
+
+def test_log_lines_over_the_rate_are_counted_and_left_out():
+    moving = clock.Clock()
+    reader, writer_fd = os.pipe()
+    writer = _line_writer.LineWriter(fd=writer_fd, clock=moving.monotonic)
+    written = [writer.write(f"line {n}") for n in range(700)]
+    assert sum(written) == 600
+    assert writer.dropped == 100
+    moving.now += 1.0
+    assert writer.write("after")
+    assert writer.dropped == 0
+    os.close(reader)
+    os.close(writer_fd)
+
+
+def test_logs_never_wait_for_their_reader():
+    reader, writer_fd = os.pipe()
+    moving = clock.Clock()
+    writer = _line_writer.LineWriter(fd=writer_fd, clock=moving.monotonic)
+    for _ in range(500):
+        moving.now += 1.0
+        writer.write("x" * 2000)
+    assert writer.dropped > 0
+    os.close(reader)
+    writer.flush()
+    assert writer.pending == b""
+    os.close(writer_fd)
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -16,6 +16,7 @@
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
 from zinniadyke import requests
+from zinniadyke import telemetry
 
 # Requests that may wait inside an engine beyond its slots, so that a place
 # is taken again at the next step.
@@ -84,6 +85,11 @@
             patience_s = self._patience_s(call)
             if patience_s <= 0 or self._expected_wait_s() > patience_s:
                 raise self._refusal(errors.ResultCode.QUEUE_FULL)
+            telemetry.gauge(
+                telemetry.Metric.QUEUE_LENGTH,
+                len(self.queue) + 1,
+                label=self.service,
+            )
             self.queue.wait(
                 call.workspace or ids.WorkspaceName(""),
                 1,
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -22,6 +22,7 @@
 from zinniadyke import ids
 from zinniadyke import requests
 from zinniadyke import settings
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -103,6 +104,9 @@
             finally:
                 attempt.close()
                 admission.release(state)
+            telemetry.count(
+                telemetry.Metric.ATTEMPTS, label=attempt.outcome.value
+            )
             self._judge(attempt, state)
             if attempt.outcome is _call.Outcome.ANSWERED:
                 return
@@ -136,6 +140,10 @@
             state.note_success()
             return
         rests = state.note_failure() if not attempt.refused else False
+        if rests:
+            telemetry.count(
+                telemetry.Metric.TARGET_RESTS, label=state.target.service
+            )
         LOG.info(
             "attempt ended",
             extra={
@@ -167,7 +175,10 @@
         if not attempt.sent:
             # Nothing reached a target, so it does not count as an attempt.
             return len(call.tried) < MAX_PLACEMENTS
-        return self._budget(call.service).withdraw()
+        allowed = self._budget(call.service).withdraw()
+        if allowed:
+            telemetry.count(telemetry.Metric.ATTEMPTS_REPEATED)
+        return allowed
 
     def _admission(self, service: ids.ServiceName) -> _admission.Admission:
         if service not in self.admissions:
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -21,6 +21,7 @@
 from zinniadyke import platform
 from zinniadyke.platform import headers
 from zinniadyke import settings
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -214,13 +215,23 @@
         call: _call.Call | None,
         code: errors.ResultCode,
     ) -> None:
+        took_s = time.monotonic() - request.arrived_at
+        telemetry.count(telemetry.Metric.REQUESTS, label=str(code.number))
         fields = {
             "request": request.header(headers.REQUEST_ID),
             "code": code.number,
             "result": code.name,
-            "ms": _ms_between(request.arrived_at, time.monotonic()),
+            "ms": math.ceil(took_s * MS_PER_S),
         }
         if call is not None:
+            label = f"{call.workspace}.{call.route.name}"
+            telemetry.timing(telemetry.Metric.REQUEST_TIME, took_s, label)
+            if call.first_part_at is not None:
+                telemetry.timing(
+                    telemetry.Metric.FIRST_PART_TIME,
+                    call.first_part_at - request.arrived_at,
+                    label,
+                )
             fields["route"] = call.route.name
             fields["service"] = call.service
             fields["workspace"] = call.workspace
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -169,10 +169,14 @@
                 ),
             )
         except urllib3.exceptions.HTTPError as error:
+            telemetry.count(telemetry.Metric.PLATFORM_FAILURES, label="none")
             raise errors.PlatformError(f"{method} {path}: {error}")
         if answer.status == http.HTTPStatus.GONE:
             raise HistoryGoneError(f"{method} {path}: history is gone")
         if answer.status != http.HTTPStatus.OK:
+            telemetry.count(
+                telemetry.Metric.PLATFORM_FAILURES, label=str(answer.status)
+            )
             raise errors.PlatformError(f"{method} {path}: {answer.status}")
         return answer.data
 
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -54,6 +54,12 @@
     value_bytes: int = 1048576
 
 
+class MetricsSection(_schema.Section):
+    """Where metrics are served, as ``ip:port``; empty for nowhere."""
+
+    address: str = ""
+
+
 class BoundsSection(_schema.Section):
     """Bounds that the operators set.
 
@@ -95,4 +101,5 @@
     listen: ListenSection = ListenSection()
     target: TargetSection = TargetSection()
     bounds: BoundsSection = BoundsSection()
+    metrics: MetricsSection = MetricsSection()
     log: _schema.LogSettings = _schema.LogSettings()
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -14,6 +14,7 @@
 from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _pick
 from zinniadyke.sidecar import _pieces
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -180,6 +181,7 @@
             piece = self._ask(choice)
             if piece is not None and not self.store.add(choice.index, piece):
                 self.have.get(choice.host_ip, set()).discard(choice.index)
+                telemetry.count(telemetry.Metric.CHUNKS_CORRUPT)
                 LOG.warning(
                     "piece spoilt on the way",
                     extra={
@@ -200,7 +202,9 @@
             piece = self.client.piece(choice.host_ip, store, choice.index)
             if piece is None:
                 self.have.pop(choice.host_ip, None)
-            self.from_peers += piece is not None
+            if piece is not None:
+                self.from_peers += 1
+                telemetry.count(telemetry.Metric.CHUNKS_PEER_BYTES, len(piece))
             return piece
         try:
             piece = self.origin.piece(store.model, store.version, choice.index)
@@ -209,6 +213,7 @@
             eventlet.sleep(CHECK_S)
             return None
         self.from_origin += 1
+        telemetry.count(telemetry.Metric.CHUNKS_ORIGIN_BYTES, len(piece))
         return piece
 
     def _note_have(self, host_ip: str, indexes: set[int]) -> None:
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -19,6 +19,7 @@
 from zinniadyke.sidecar import _pick
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _schedule
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -133,6 +134,12 @@
         begun = time.monotonic()
         self._bringer(model, store).verify()
         done = self._load(model, store.version)
+        telemetry.count(
+            telemetry.Metric.ORDERS, label="loaded" if done else "not loaded"
+        )
+        telemetry.gauge(
+            telemetry.Metric.WEIGHTS_VERSION, self._held(model), label=model
+        )
         LOG.info(
             "weights loaded" if done else "weights not loaded",
             extra={
--- a/zinniadyke/telemetry/_logs.py
+++ b/zinniadyke/telemetry/_logs.py
@@ -1,13 +1,37 @@
-"""Logs as one JSON object a line."""
+"""Logs as one JSON object a line, bounded in volume."""
 
 import logging
 import sys
 
 from pythonjsonlogger import json as json_logger
 
+from zinniadyke.telemetry import _line_writer
+
 FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
+class BoundedHandler(logging.Handler):
+    """Hands records to a line writer."""
+
+    def __init__(self, *, writer: _line_writer.LineWriter) -> None:
+        """Write through ``writer``."""
+        super().__init__()
+        self.writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, with the number of lines left out before it."""
+        try:
+            if self.writer.dropped:
+                record.dropped_before = self.writer.dropped
+            self.writer.write(self.format(record))
+        except Exception:
+            self.handleError(record)
+
+    def flush(self) -> None:
+        """Write what is pending."""
+        self.writer.flush()
+
+
 def set_up_logs(level: str, *, process: str) -> None:
     """Send all logs of at least ``level`` to standard output.
 
@@ -16,7 +40,8 @@
     process
         Name that every record carries.
     """
-    handler = logging.StreamHandler(sys.stdout)
+    writer = _line_writer.LineWriter(fd=sys.stdout.fileno())
+    handler = BoundedHandler(writer=writer)
     handler.setFormatter(
         json_logger.JsonFormatter(
             FORMAT,
--- a/zinniadyke/ui/_platform_daemon.py
+++ b/zinniadyke/ui/_platform_daemon.py
@@ -23,6 +23,8 @@
     telemetry.set_up_logs(loaded.log.level.value, process=loaded.host.name)
     LOG.info("start", extra={"program": name, "settings": file})
     try:
+        if loaded.metrics.address:
+            telemetry.serve_metrics(loaded.metrics.address)
         process = _make(name, loaded)
     except OSError as error:
         raise errors.SettingsError(f"{name} {loaded.host.name}: {error}")
