--- /dev/null
+++ b/tests/gateway/test_target_state.py
@@ -0,0 +1,91 @@
+import pytest
+
+from tests import clock
+from zinniadyke import directory
+from zinniadyke.gateway import _placement
+from zinniadyke.gateway import _target_state
+
+
+@pytest.fixture
+def moving(monkeypatch):
+    found = clock.Clock()
+    monkeypatch.setattr(_target_state.time, "monotonic", found.monotonic)
+    return found
+
+
+def make(name="t", zone="z1", slots=16):
+    return _target_state.TargetState(
+        target=directory.Target(
+            id=name,
+            service="s",
+            address="1.2.3.4:5",
+            zone=zone,
+            slots=slots,
+            leaving=False,
+            born_ms=0,
+            weights={},
+        )
+    )
+
+
+def test_load_counts_own_requests_since_the_report(moving):
+    state = make()
+    state.in_flight = 2
+    state.note_load(8, 1)
+    state.in_flight = 4
+    assert state.load == 11
+    state.in_flight = 1
+    assert state.load == 8
+    moving.now += _target_state.REPORT_LIFE_S + 0.1
+    assert state.load == 1
+
+
+def test_entries_share_the_free_places_of_a_target(moving):
+    """All entries see the same report; together they do not overfill."""
+    for reported in (0, 10, 15, 16):
+        taken = []
+        for _ in range(400):
+            states = [make() for _ in range(5)]
+            for state in states:
+                state.entries = 5
+                state.note_load(reported, 0)
+            taken.append(sum(s.places for s in states))
+        free = 16 + _target_state.ENGINE_QUEUE - reported
+        assert abs(sum(taken) / len(taken) - free) < 0.35
+
+
+def test_place_that_an_own_request_leaves_may_be_taken_again(moving):
+    state = make()
+    state.in_flight = 3
+    state.entries = 5
+    state.note_load(17, 0)
+    assert state.places == 0
+    state.in_flight = 2
+    assert state.places == 1
+
+
+def test_target_rests_after_failures_and_comes_back(moving):
+    state = make()
+    assert not state.note_failure()
+    assert state.note_failure()
+    assert state.resting
+    moving.now += _target_state.REST_MIN_S + 0.01
+    assert not state.resting
+    state.note_failure()
+    assert state.resting
+    state.note_success()
+    assert not state.resting
+
+
+def test_near_target_goes_first_unless_it_is_busier():
+    distance = _placement.distances("z1", {"z1": "r1", "z2": "r2"})
+    near, far = make("near"), make("far", zone="z2")
+    chosen = {
+        _placement.choose([far, near], distance, lambda _: True).target.id
+        for _ in range(50)
+    }
+    assert chosen == {"near"}
+    near.in_flight = 4
+    chosen = _placement.choose([far, near], distance, lambda _: True)
+    assert chosen is far
+    assert _placement.choose([far], distance, lambda _: False) is None
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -18,9 +18,6 @@
 from zinniadyke import requests
 from zinniadyke import telemetry
 
-# Requests that may wait inside an engine beyond its slots, so that a place
-# is taken again at the next step.
-ENGINE_QUEUE = 1
 # Time from the sending to the first event that is allowed for.
 FIRST_EVENT_S = 0.15
 # Completions are counted over this time.
@@ -30,8 +27,6 @@
 # Longest queue of one workspace and priority; what bounds the queue in
 # practice is the expected wait.
 MAX_WAITING = 1000
-# A service that holds no engines sheds by itself; its queue is its own.
-UNLIMITED = float("inf")
 
 
 class Admission:
@@ -61,7 +56,7 @@
         state = _placement.choose(
             self.book.candidates(self.service, call.model, call.tried),
             self.distance,
-            lambda _: UNLIMITED,
+            lambda _: True,
         )
         if state is None:
             raise self._refusal(errors.ResultCode.NO_TARGET)
@@ -111,10 +106,7 @@
         """Let as many requests go on as places are free."""
         if not len(self.queue):
             return
-        free = sum(
-            max(0, self._full_at(s) - s.load)
-            for s in self.book.awake(self.service)
-        )
+        free = sum(max(0, s.places) for s in self.book.awake(self.service))
         while len(self.queue) and free > self.queue.turns:
             self.queue.grant()
 
@@ -128,13 +120,12 @@
         return _placement.choose(
             self.book.candidates(self.service, call.model, call.tried),
             self.distance,
-            self._full_at,
+            self._has_place,
         )
 
-    def _full_at(self, state: _target_state.TargetState) -> float:
-        if not self.book.has_engine(self.service):
-            return UNLIMITED
-        return state.target.slots + ENGINE_QUEUE
+    def _has_place(self, state: _target_state.TargetState) -> bool:
+        # A service without engines sheds by itself; its queue is its own.
+        return not self.book.has_engine(self.service) or state.places > 0
 
     def _patience_s(self, call: _call.Call) -> float:
         on_time_s = call.objective_at - time.monotonic() - FIRST_EVENT_S
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -97,6 +97,7 @@
                 continue
             if report.born_ms and report.born_ms != target.born_ms:
                 continue
+            state.entries = max(report.entries, 1)
             state.note_load(report.running, report.waiting)
             state.switching = report.switching
             state.weights = report.weights
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -19,7 +19,7 @@
 def choose(
     candidates: Iterable[_target_state.TargetState],
     distance: Callable[[str], float],
-    full_at: Callable[[_target_state.TargetState], float],
+    has_place: Callable[[_target_state.TargetState], bool],
 ) -> _target_state.TargetState | None:
     """Return the best target, or None when all are full.
 
@@ -27,15 +27,14 @@
     ----------
     distance
         Returns the load that reaching an availability zone is worth.
-    full_at
-        Returns the load at which a target takes no more.
+    has_place
+        Returns whether a target may get the request now.
     """
     best, best_cost = None, float("inf")
     for state in candidates:
-        load = state.load
-        if load >= full_at(state):
+        if not has_place(state):
             continue
-        cost = load + distance(state.target.zone) + random.random() * 0.5
+        cost = state.load + distance(state.target.zone) + random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
     return best
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -1,5 +1,6 @@
 """What an entry knows of one target's load and health."""
 
+import random
 import time
 
 from zinniadyke import directory
@@ -7,6 +8,9 @@
 # A load report that is older than this says nothing any more. Agents report
 # at least every 0.3 s.
 REPORT_LIFE_S = 4.0
+# Requests that may wait inside an engine beyond its slots, so that a place
+# is taken again at the next step.
+ENGINE_QUEUE = 1
 # Rest of a target after a failure in a row; doubles with each up to the
 # second figure.
 REST_MIN_S = 0.5
@@ -28,6 +32,10 @@
         ``in_flight`` when that was told.
     weights
         Versions that the target's agent tells; newer than the registry.
+    entries
+        Entries that send requests to the target.
+    share
+        Of the places that were free then, those that this entry may take.
     switching
         Whether it takes nothing new because it changes its weights.
     """
@@ -39,6 +47,8 @@
         self.reported = 0
         self.in_flight_then = 0
         self.reported_at = float("-inf")
+        self.entries = 1
+        self.share = 0
         self.weights: dict | None = None
         self.switching = False
         self.failures = 0
@@ -49,6 +59,7 @@
         self.reported = running + waiting
         self.in_flight_then = self.in_flight
         self.reported_at = time.monotonic()
+        self.share = _draw_share(self.full_at - self.reported, self.entries)
 
     def note_success(self) -> None:
         """Count a request that the target answered."""
@@ -73,6 +84,22 @@
         """Whether the target is left alone after failures."""
         return time.monotonic() < self.rests_until
 
+    @property
+    def full_at(self) -> int:
+        """Requests at the target at which it has no place left."""
+        return self.target.slots + ENGINE_QUEUE
+
+    @property
+    def places(self) -> int:
+        """Requests that this entry may send there now.
+
+        All entries see the same free places; each takes its share of them,
+        and those that its own requests leave.
+        """
+        if time.monotonic() - self.reported_at > REPORT_LIFE_S:
+            return self.full_at // self.entries - self.in_flight
+        return self.share + self.in_flight_then - self.in_flight
+
     @property
     def load(self) -> int:
         """Estimate of the requests at the target, of all callers."""
@@ -91,3 +118,11 @@
         """Whether it holds a whole model."""
         told = self.target.weights if self.weights is None else self.weights
         return bool(told)
+
+
+def _draw_share(free: int, entries: int) -> int:
+    """Return a part of the free places, rounded at random."""
+    if free <= 0:
+        return 0
+    whole, rest = divmod(free, max(entries, 1))
+    return whole + (random.random() * max(entries, 1) < rest)
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -38,6 +38,8 @@
         Start of the target, as in its registration; 0 when not told.
     running, waiting
         Requests of all callers that run or wait there.
+    entries
+        Entries that ask for these reports.
     switching
         Whether it takes nothing new because it changes its weights.
     weights
@@ -50,6 +52,7 @@
     born_ms: int
     running: int
     waiting: int
+    entries: int
     switching: bool
     weights: dict[str, int]
     named: NamedAges
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -223,8 +223,9 @@
             self._held(model),
             whole,
             now=time.monotonic(),
-            bound_s=self.settings.bounds.version_ms / MS_PER_S,
-            bring_s=fetch_s + _schedule.SWITCH_MARGIN_S,
+            bound_s=self.settings.bounds.version_ms / MS_PER_S
+            - _schedule.ENTRY_MARGIN_S,
+            bring_s=fetch_s * _schedule.SWARM_FACTOR + _schedule.LOAD_S,
         )
 
     def _to_load(self, model: ids.ModelName) -> _pieces.PieceStore | None:
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -103,6 +103,7 @@
                 born_ms=report.born_ms,
                 running=report.running,
                 waiting=report.waiting,
+                entries=max(len(self.subscribers), 1),
                 switching=switching,
                 weights=report.weights,
                 named=self.view.named_ages(),
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -15,6 +15,12 @@
 # the load of some 0.3 s.
 SWITCH_WINDOW_S = 1.6
 SWITCH_GAP_S = 0.35
+# Transfers in a swarm take this much longer than the link alone allows.
+SWARM_FACTOR = 1.12
+# Entries stop using older weights this long before the bound.
+ENTRY_MARGIN_S = 0.8
+# Reading back, the order and the load itself.
+LOAD_S = 0.45
 
 
 def choose_version(
@@ -28,9 +34,8 @@
 ) -> ids.WeightsVersion:
     """Return the version to fetch next.
 
-    The newest, unless an older one is due before the newest could be there
-    and is likely to be brought in time: then that one keeps the target in
-    service in between.
+    The newest, unless bringing an older one first leaves the target out of
+    service for less time.
 
     Parameters
     ----------
@@ -51,8 +56,16 @@
         if version <= held or version in whole or version == newest:
             continue
         due = named_at[version] + bound_s
-        newest_ready = named_at[newest] + bring_s
-        if newest_ready > due and now < due:
+        if now >= due:
+            continue
+        out_if_dropped = named_at[newest] + bring_s - due
+        ready = named_at[version] + bring_s
+        newest_ready = max(ready, named_at[newest]) + bring_s
+        newest_due = named_at[newest] + bound_s
+        out_if_finished = max(0.0, ready - due) + max(
+            0.0, newest_ready - newest_due
+        )
+        if out_if_finished < out_if_dropped:
             return version
     return newest
 
