--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -83,7 +83,10 @@
             raise self._refusal(errors.ResultCode.NO_TARGET)
         while True:
             patience_s = self._patience_s(call)
-            if patience_s <= 0 or self._expected_wait_s() > patience_s:
+            call.waiting_then = len(self.queue)
+            call.expected_wait_s = self._expected_wait_s()
+            call.patience_s = patience_s
+            if patience_s <= 0 or call.expected_wait_s > patience_s:
                 raise self._refusal(errors.ResultCode.QUEUE_FULL)
             telemetry.gauge(
                 telemetry.Metric.QUEUE_LENGTH,
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -221,6 +221,7 @@
             "request": request.header(headers.REQUEST_ID),
             "code": code.number,
             "result": code.name,
+            "configuration": self._configuration_version(),
             "ms": math.ceil(took_s * MS_PER_S),
         }
         if call is not None:
@@ -242,11 +243,19 @@
             ):
                 if moment is not None:
                     fields[name] = _ms_between(request.arrived_at, moment)
+            if call.sent_at is None:
+                fields["waiting"] = call.waiting_then
+                fields["expected_wait_ms"] = _capped_ms(call.expected_wait_s)
+                fields["patience_ms"] = _capped_ms(call.patience_s)
             fields["load"] = call.load_then
             fields["load_age_ms"] = _capped_ms(call.load_age_s)
             fields["gap_ms"] = math.ceil(call.longest_gap_s * MS_PER_S)
         LOG.info("request", extra=fields)
 
+    def _configuration_version(self) -> int | None:
+        found = self.view.configuration
+        return found.version if found is not None else None
+
     def _serve_ready(self) -> None:
         wsgi.server(
             self.ready_socket,
