Budget by the entries that agents count; later return when nobody can serve

Causes: each entry took a fifth of the extra second attempts, also where 12 or 15 share it; a caller that left just as its answer ended left a waiting task behind; callers refused for want of any target came back after 0.2 s.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from tests.gateway import deployment as deploy
+from zinniadyke import settings
 
 
 def echo(exchange):
@@ -370,3 +371,27 @@
         eventlet.sleep(0.3)
         assert made.ask("/once/x")[0] == 200
         assert made.gateway.ready
+
+
+def test_second_attempts_stay_within_the_budget_of_all_entries():
+    def shed(exchange):
+        exchange.answer(503, X_Zinniadyke_Not_Executed="1")
+
+    with deploy.deployment(shed, shed) as made:
+        made.gateway.forwarder.bounds = settings.BoundsSection(
+            retry_ratio=0.2, retry_extra=10.0
+        )
+        for state in made.gateway.book.states.values():
+            state.entries = 10
+        asked = 20
+        for _ in range(asked):
+            assert made.ask("/again/x")[0] == 503
+        arrivals = sum(len(t.seen) for t in made.targets)
+        assert arrivals - asked <= 0.2 * asked + 10.0 / 10
+
+
+def test_caller_that_leaves_after_its_answer_leaves_nothing_behind():
+    with deploy.deployment(echo) as made:
+        for _ in range(5):
+            assert made.ask("/once/x")[0] == 200
+        assert deploy.wait_until(lambda: not made.gateway.callers)
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -28,6 +28,9 @@
 RATE_WINDOW_S = 2.0
 RETRY_AFTER_MIN_S = 0.2
 RETRY_AFTER_MAX_S = 1.5
+# Targets that are to load weights, or to come back, take longer than a place
+# in a queue; callers wait up to a third of the time they have.
+NO_TARGET_RETRY_S = 2.0
 # Longest queue of one workspace and priority; what bounds the queue in
 # practice is the expected wait.
 MAX_WAITING = 1000
@@ -159,6 +162,8 @@
         wait_s = min(
             max(self._expected_wait_s(), RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S
         )
+        if code is errors.ResultCode.NO_TARGET:
+            wait_s = NO_TARGET_RETRY_S
         return errors.RequestError(
             code=code, retry_after_s=wait_s * random.uniform(0.7, 1.3)
         )
--- a/zinniadyke/gateway/_caller.py
+++ b/zinniadyke/gateway/_caller.py
@@ -232,7 +232,10 @@
             self.requests.put(None)
 
     def _interrupt(self) -> None:
-        if self.busy and self.handler and not self.handler.dead:
+        if not self.busy:
+            # The answer ended in between; the handler waits for a request.
+            eventlet.spawn_n(self.requests.put, None)
+        elif self.handler and not self.handler.dead:
             self.handler.throw(CallerGoneError)
 
     def _linger(self, reader) -> None:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -35,7 +35,7 @@
 SILENCE_SHARE = 0.5
 # Part of the operators' bound on second attempts that is used.
 RETRY_SHARE_USED = 0.9
-# Entries that share what the bound allows beside the requests.
+# Entries that are taken to share the bound while fewer are known.
 FEWEST_ENTRIES = 5
 # Targets that one request may be placed at while none took its connection.
 MAX_PLACEMENTS = 4
@@ -193,12 +193,18 @@
     def _budget(self, service: ids.ServiceName) -> requests.RetryBudget:
         if service not in self.budgets:
             self.budgets[service] = requests.RetryBudget(
-                ratio=self.bounds.retry_ratio * RETRY_SHARE_USED,
-                most=self.bounds.retry_extra
-                * RETRY_SHARE_USED
-                / FEWEST_ENTRIES,
+                ratio=self.bounds.retry_ratio * RETRY_SHARE_USED
             )
-        return self.budgets[service]
+        found = self.budgets[service]
+        found.limit(
+            self.bounds.retry_extra * RETRY_SHARE_USED / self._entries()
+        )
+        return found
+
+    def _entries(self) -> int:
+        """Return how many entries share the budget, as agents tell."""
+        told = (state.entries for state in self.book.states.values())
+        return max(FEWEST_ENTRIES, *told, FEWEST_ENTRIES)
 
 
 class Exchange:
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -95,7 +95,7 @@
             target = state.target
             if target.address != report.address:
                 continue
-            if report.born_ms and report.born_ms != target.born_ms:
+            if _are_different(report.born_ms, target.born_ms):
                 continue
             state.entries = max(report.entries, 1)
             state.note_load(report.running, report.waiting)
@@ -115,3 +115,8 @@
                 and found.engine is not None
             }
         )
+
+
+def _are_different(one_ms: int, other_ms: int) -> bool:
+    """Whether two starts differ; 0 stands for one that was not told."""
+    return bool(one_ms and other_ms) and one_ms != other_ms
--- a/zinniadyke/requests/_budget.py
+++ b/zinniadyke/requests/_budget.py
@@ -27,6 +27,11 @@
         self.most = most
         self.balance = min(INITIAL_RETRIES, most)
 
+    def limit(self, most: float) -> None:
+        """Change how many retries can be saved up."""
+        self.most = most
+        self.balance = min(self.balance, most)
+
     def deposit(self) -> None:
         """Count a first attempt."""
         self.balance = min(self.most, self.balance + self.ratio)
