Five transfers at once

Cause: a transfer took 0.5 to 1.2 s more than the link needs; with three at once an agent often waited for slow senders.

--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -20,7 +20,7 @@
 
 # Pieces that are asked for at once, and of them of the origin: all agents
 # share its few connections.
-TRANSFERS_AT_ONCE = 3
+TRANSFERS_AT_ONCE = 5
 ORIGIN_CALLS = 2
 # Longest sleep while nothing can be asked for.
 CHECK_S = 0.1
