--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -71,13 +71,11 @@
         call: _call.Call,
         state: _target_state.TargetState,
         last_event_id: str,
-        weights_version: int,
     ) -> None:
         """Prepare; :meth:`begin` sends."""
         self.call = call
         self.state = state
         self.last_event_id = last_event_id
-        self.weights_version = weights_version
         self.connection = _target_connection.TargetConnection(
             address=state.target.address, method=call.request.method
         )
@@ -190,8 +188,6 @@
         ]
         if call.workspace is not None:
             own.append((headers.WORKSPACE, call.workspace))
-        if self.weights_version:
-            own.append((headers.EXPECTED_WEIGHTS, str(self.weights_version)))
         if self.last_event_id:
             own.append((headers.LAST_EVENT_ID, self.last_event_id))
         if request.body or request.count("content-length"):
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -4,7 +4,6 @@
 once more only after proof that it has not run.
 """
 
-import http
 import logging
 import math
 import time
@@ -16,8 +15,7 @@
 from zinniadyke.gateway import _book
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller
-from zinniadyke.gateway import _events
-from zinniadyke.gateway import _target_connection
+from zinniadyke.gateway import _exchange
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
 from zinniadyke import requests
@@ -26,21 +24,12 @@
 
 LOG = logging.getLogger(__name__)
 
-# Silence before the first event, and between events, after which a stream
-# is taken up at another target.
-FIRST_EVENT_TIMEOUT_S = 1.6
-EVENT_TIMEOUT_S = 1.2
-# Silence after which an idempotent request goes to another target, as a
-# share of the time that is left for it.
-SILENCE_SHARE = 0.5
 # Part of the operators' bound on second attempts that is used.
 RETRY_SHARE_USED = 0.9
 # Entries that are taken to share the bound while fewer are known.
 FEWEST_ENTRIES = 5
 # Targets that one request may be placed at while none took its connection.
 MAX_PLACEMENTS = 4
-# When a caller may come back after targets refused its request, in seconds.
-REFUSED_RETRY_S = 0.3
 
 
 class Forwarder:
@@ -84,7 +73,7 @@
         """
         admission = self._admission(call.service)
         self._budget(call.service).deposit()
-        exchange = Exchange(call=call, caller=caller)
+        exchange = _exchange.Exchange(call=call, caller=caller)
         first = attempt = None
         while True:
             try:
@@ -118,7 +107,7 @@
                 return
 
     def _new_attempt(
-        self, exchange: "Exchange", state: _target_state.TargetState
+        self, exchange: _exchange.Exchange, state: _target_state.TargetState
     ) -> _attempt.Attempt:
         call = exchange.call
         call.tried.append(state.target.id)
@@ -130,7 +119,6 @@
             call=call,
             state=state,
             last_event_id=exchange.last_event_id,
-            weights_version=0,
         )
 
     def _judge(
@@ -161,7 +149,7 @@
         )
 
     def _may_repeat(
-        self, exchange: "Exchange", attempt: _attempt.Attempt
+        self, exchange: _exchange.Exchange, attempt: _attempt.Attempt
     ) -> bool:
         call = exchange.call
         if len(call.tried) >= call.route.max_attempts and attempt.sent:
@@ -207,160 +195,5 @@
         return max(FEWEST_ENTRIES, *told, FEWEST_ENTRIES)
 
 
-class Exchange:
-    """One call's answer to its caller, across attempts.
-
-    Attributes
-    ----------
-    last_event_id
-        Last event that the caller has.
-    streaming
-        Whether a part of the answer was passed on.
-    uncertain
-        Whether an attempt broke, so that the request may have run.
-    """
-
-    def __init__(self, *, call: _call.Call, caller: _caller.Caller) -> None:
-        """Start with nothing passed on."""
-        self.call = call
-        self.caller = caller
-        self.last_event_id = call.last_event_id
-        self.streaming = False
-        self.uncertain = False
-        self.begin_s = float("inf")
-
-    def run(self, attempt: _attempt.Attempt, begin_s: float) -> None:
-        """Make one attempt and pass on what it brings.
-
-        Parameters
-        ----------
-        begin_s
-            Time within which the request must begin there, in seconds.
-        """
-        self.begin_s = begin_s
-        self._run(attempt)
-        if attempt.outcome is _call.Outcome.BROKEN:
-            self.uncertain = True
-
-    def _run(self, attempt: _attempt.Attempt) -> None:
-        attempt.begin(min(self._answer_timeout_s(), self.begin_s))
-        if attempt.outcome is not None:
-            return
-        answer = attempt.connection
-        if self.call.route.streaming and answer.status == http.HTTPStatus.OK:
-            self._relay_stream(attempt)
-            return
-        body = attempt.read_whole()
-        if body is None:
-            return
-        if (
-            answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
-            or promises_not_run(answer.status)
-            or self.streaming
-        ):
-            attempt.fail(body)
-            return
-        self._pass_on(attempt, body)
-        attempt.outcome = _call.Outcome.ANSWERED
-
-    def give_up(self, attempt: _attempt.Attempt) -> None:
-        """Give the final answer after the last attempt."""
-        if self.streaming:
-            LOG.info("stream broken off", extra={"request": self.call.id})
-            self.caller.abort()
-            return
-        if attempt.outcome is _call.Outcome.FAILED:
-            if promises_not_run(attempt.connection.status):
-                raise errors.RequestError(code=errors.ResultCode.TARGET_FAILED)
-            self._pass_on(attempt, attempt.failed_body)
-            return
-        if attempt.outcome is _call.Outcome.NOT_RUN and not self.uncertain:
-            raise errors.RequestError(
-                attempt.reason,
-                code=errors.ResultCode.TARGET_BUSY,
-                retry_after_s=REFUSED_RETRY_S,
-            )
-        code = errors.ResultCode.STREAM_BROKEN
-        if self.call.left_s <= 0:
-            code = errors.ResultCode.OUTCOME_UNKNOWN
-        raise errors.RequestError(attempt.reason, code=code)
-
-    def _answer_timeout_s(self) -> float:
-        left_s = max(self.call.left_s, 0.0)
-        last = len(self.call.tried) >= self.call.route.max_attempts
-        repeat = self.call.route.repeat
-        if repeat is directory.Repeat.NEVER or last:
-            return left_s + _attempt.ANSWER_SLACK_S
-        if repeat is directory.Repeat.RESUME:
-            return min(FIRST_EVENT_TIMEOUT_S, left_s)
-        return max(left_s * SILENCE_SHARE, self.call.route.objective_s)
-
-    def _relay_stream(self, attempt: _attempt.Attempt) -> None:
-        splitter = _events.EventSplitter()
-        answer = attempt.connection
-        timeout_s = min(self._answer_timeout_s(), self.begin_s)
-        try:
-            while part := answer.read_part(
-                min(timeout_s, self.call.left_s + _attempt.ANSWER_SLACK_S)
-            ):
-                events = self._new_events(splitter.feed(part))
-                if events:
-                    self._pass_part(attempt, b"".join(events))
-                    timeout_s = EVENT_TIMEOUT_S
-        except _target_connection.BrokenAnswerError as error:
-            attempt.break_off(str(error))
-            return
-        if splitter.rest:
-            attempt.break_off("the stream ended within an event")
-            return
-        if not self.streaming:
-            self._pass_part(attempt, b"")
-        self.caller.end_stream()
-        attempt.outcome = _call.Outcome.ANSWERED
-
-    def _new_events(self, events: list[bytes]) -> list[bytes]:
-        """Return the events that the caller does not have yet."""
-        fresh = []
-        for event in events:
-            number = _events.event_id(event)
-            if number is not None:
-                last = self.last_event_id
-                if last.isdigit() and number <= int(last):
-                    continue
-                self.last_event_id = str(number)
-            fresh.append(event)
-        return fresh
-
-    def _pass_part(self, attempt: _attempt.Attempt, part: bytes) -> None:
-        self.call.note_part()
-        if self.streaming:
-            self.caller.send_part(part)
-            return
-        self.streaming = True
-        self.caller.start_stream(
-            attempt.connection.status,
-            attempt.answer_headers(),
-            part,
-            chunked=self.call.request.http_1_1,
-        )
-
-    def _pass_on(self, attempt: _attempt.Attempt, body: bytes) -> None:
-        answer = attempt.connection
-        if answer.framing is _target_connection.Framing.BODILESS:
-            self.caller.send_bodiless(answer.status, answer.headers)
-            return
-        self.caller.send_whole(answer.status, attempt.answer_headers(), body)
-
-
-def promises_not_run(status: int) -> bool:
-    """Whether a status tells callers that a request never runs."""
-    return status in (
-        http.HTTPStatus.REQUEST_TIMEOUT,
-        http.HTTPStatus.MISDIRECTED_REQUEST,
-        http.HTTPStatus.TOO_MANY_REQUESTS,
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-
-
 def _ms_since(moment: float) -> int:
     return math.ceil((time.monotonic() - moment) * 1000)
--- a/zinniadyke/gateway/_request.py
+++ b/zinniadyke/gateway/_request.py
@@ -5,6 +5,15 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def find_header(headers: Headers, name: str) -> str:
+    """Return the first value of a header; empty when absent."""
+    wanted = name.encode()
+    for key, value in headers:
+        if key == wanted:
+            return value.decode("latin-1")
+    return ""
+
+
 class CallerRequest(msgspec.Struct, kw_only=True):
     """A whole request; header names are lower case.
 
@@ -28,11 +37,7 @@
 
     def header(self, name: str) -> str:
         """Return the first value of a header; empty when absent."""
-        wanted = name.encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return ""
+        return find_header(self.headers, name)
 
     def count(self, name: str) -> int:
         """Return how often a header occurs."""
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -14,6 +14,8 @@
 from eventlet import hubs
 import httptools
 
+from zinniadyke.gateway import _request
+
 READ_BYTES = 16384
 # First status of final answers; those before are only interim.
 FIRST_FINAL = 200
@@ -145,11 +147,7 @@
 
     def header(self, name: str) -> str:
         """Return the first value of a header; empty when absent."""
-        wanted = name.encode()
-        for key, value in self.headers:
-            if key == wanted:
-                return value.decode("latin-1")
-        return ""
+        return _request.find_header(self.headers, name)
 
     def close(self) -> None:
         """Close, which makes the target drop an unfinished request."""
