Failed is not "not run"; silence ends no stream that must stay

Found by reading the change as a newcomer, each with a test that failed: - after a target's own failure, a second target's refusal was answered 503, which promises that the request has not run; - a stream that may not go on elsewhere, or has no attempt left, was broken off after 1.2 s of silence; - a plain answer on a streaming route was taken for a broken stream. Also: a caller whose connection fails under a write counts as gone, not as a fault of ours.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -395,3 +395,36 @@
         for _ in range(5):
             assert made.ask("/once/x")[0] == 200
         assert deploy.wait_until(lambda: not made.gateway.callers)
+
+
+def test_request_that_failed_somewhere_is_not_called_not_run():
+    def fail_then_shed(exchange):
+        if sum(len(t.seen) for t in made.targets) == 1:
+            exchange.answer(500, b"failed")
+        else:
+            exchange.answer(503, X_Zinniadyke_Not_Executed="1")
+
+    with deploy.deployment(fail_then_shed, fail_then_shed) as made:
+        assert made.ask("/again/x")[0] == 502
+        assert [len(t.seen) for t in made.targets] == [1, 1]
+
+
+def test_silence_ends_no_stream_that_can_not_go_on_elsewhere():
+    def pause(exchange):
+        exchange.head(framing="Transfer-Encoding: chunked")
+        exchange.chunk(event(1))
+        eventlet.sleep(1.5)
+        exchange.chunk(event(2))
+        exchange.chunk(b"")
+
+    with deploy.deployment(pause) as made:
+        _, _, body, whole = made.ask("/stream-once/x")
+        assert (body, whole) == (event(1) + event(2), True)
+
+
+def test_plain_answer_on_a_streaming_route_is_passed_on():
+    def plain(exchange):
+        exchange.answer(body=b"no events", Content_Type="text/plain")
+
+    with deploy.deployment(plain) as made:
+        assert made.ask("/stream/x")[2] == b"no events"
--- a/zinniadyke/gateway/_caller.py
+++ b/zinniadyke/gateway/_caller.py
@@ -171,8 +171,11 @@
     def _send(self, data: bytes) -> None:
         if self.gone:
             raise CallerGoneError
-        with eventlet.Timeout(WRITE_TIMEOUT_S, CallerGoneError):
-            self.sock.sendall(data)
+        try:
+            with eventlet.Timeout(WRITE_TIMEOUT_S, CallerGoneError):
+                self.sock.sendall(data)
+        except OSError as error:
+            raise CallerGoneError(str(error))
 
     def _read(self) -> None:
         try:
--- a/zinniadyke/gateway/_exchange.py
+++ b/zinniadyke/gateway/_exchange.py
@@ -20,6 +20,8 @@
 # Silence after which an idempotent request goes to another target, as a
 # share of the time that is left for it.
 SILENCE_SHARE = 0.5
+# Media type of streams.
+EVENT_STREAM = "text/event-stream"
 # When a caller may come back after targets refused its request, in seconds.
 REFUSED_RETRY_S = 0.3
 
@@ -34,7 +36,8 @@
     streaming
         Whether a part of the answer was passed on.
     uncertain
-        Whether an attempt broke, so that the request may have run.
+        Whether an attempt broke or failed, so that the request may have
+        run.
     """
 
     def __init__(self, *, call: _call.Call, caller: _caller.Caller) -> None:
@@ -56,7 +59,7 @@
         """
         self.begin_s = begin_s
         self._run(attempt)
-        if attempt.outcome is _call.Outcome.BROKEN:
+        if attempt.outcome in (_call.Outcome.BROKEN, _call.Outcome.FAILED):
             self.uncertain = True
 
     def _run(self, attempt: _attempt.Attempt) -> None:
@@ -64,7 +67,7 @@
         if attempt.outcome is not None:
             return
         answer = attempt.connection
-        if self.call.route.streaming and answer.status == http.HTTPStatus.OK:
+        if self._is_stream(answer):
             self._relay_stream(attempt)
             return
         body = attempt.read_whole()
@@ -102,6 +105,21 @@
             code = errors.ResultCode.OUTCOME_UNKNOWN
         raise errors.RequestError(attempt.reason, code=code)
 
+    def _is_stream(self, answer: _target_connection.TargetConnection) -> bool:
+        content_type = answer.header("content-type") or EVENT_STREAM
+        return (
+            self.call.route.streaming
+            and answer.status == http.HTTPStatus.OK
+            and content_type.startswith(EVENT_STREAM)
+        )
+
+    def _event_timeout_s(self) -> float:
+        """Return the silence after which a stream goes on elsewhere."""
+        last = len(self.call.tried) >= self.call.route.max_attempts
+        if last or self.call.route.repeat is not directory.Repeat.RESUME:
+            return float("inf")
+        return EVENT_TIMEOUT_S
+
     def _answer_timeout_s(self) -> float:
         left_s = max(self.call.left_s, 0.0)
         last = len(self.call.tried) >= self.call.route.max_attempts
@@ -123,7 +141,7 @@
                 events = self._new_events(splitter.feed(part))
                 if events:
                     self._pass_part(attempt, b"".join(events))
-                    timeout_s = EVENT_TIMEOUT_S
+                    timeout_s = self._event_timeout_s()
         except _target_connection.BrokenAnswerError as error:
             attempt.break_off(str(error))
             return
