Test of rotten pieces spoils them before they are read back

The stand-in now spoils pieces as they are laid down, always before the read-back; the check that only right pieces are ever loaded is the same.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -168,13 +168,8 @@
 def test_piece_that_rots_at_the_target_is_mended_before_the_order():
     with fleet(1) as made:
         (server,) = made.servers.values()
+        server.rot = set(range(0, PIECES, 3))
         made.name(2)
-        assert deploy.wait_until(
-            lambda: (
-                server.staged.get(0) == fakes.piece_of(2, 0) or server.loads
-            )
-        )
-        server.staged[0] = b"rotten"
         assert made.all_hold(2)
         made.check_loads()
 
--- a/zinniadyke/fakes/_model_server.py
+++ b/zinniadyke/fakes/_model_server.py
@@ -9,6 +9,7 @@
 from zinniadyke.fakes import _http
 
 CHUNK_BYTES = 1024
+ROTTEN = b"rotten"
 
 
 def piece_of(version: int, index: int) -> bytes:
@@ -28,6 +29,8 @@
         Pieces that lie here, by index.
     loads
         Staged pieces as they were when each order was accepted.
+    rot
+        Pieces that turn bad once, right after they were laid down.
     lose_answers
         Orders that are carried out but not answered.
     """
@@ -45,6 +48,7 @@
         self.orders = 0
         self.busy = False
         self.lose_answers = 0
+        self.rot: set[int] = set()
         self.load_s = 0.05
         self.loads: list[tuple[int, dict[int, bytes]]] = []
         self.server = _http.HttpServer(application=self, address=address)
@@ -69,7 +73,11 @@
             )
         index = int(query["item_count"][0])
         if environ["REQUEST_METHOD"] == "PUT":
-            self.staged[index] = _http.read_body(environ)
+            piece = _http.read_body(environ)
+            if index in self.rot:
+                self.rot.discard(index)
+                piece = ROTTEN
+            self.staged[index] = piece
             return _http.answer(start_response, "200 OK")
         if index not in self.staged:
             return _http.answer(start_response, "404 Not Found")
