Place streams where no switch is about to cut them

Cause: with 10 targets that switch one after the other, an entry sent a stream to a target 0.1 s before its turn, and a cut stream to the next one in turn; it was cut again, or refused after 0.2 to 0.4 s of waiting. Agents now tell when their target switches; entries weigh a likely cut as 8 requests more at the target, by the measured time that answers take. Ruled out: leaving such targets out altogether, as it takes places away when all are needed.

--- a/tests/gateway/test_target_state.py
+++ b/tests/gateway/test_target_state.py
@@ -80,12 +80,31 @@
 def test_near_target_goes_first_unless_it_is_busier():
     distance = _placement.distances("z1", {"z1": "r1", "z2": "r2"})
     near, far = make("near"), make("far", zone="z2")
-    chosen = {
-        _placement.choose([far, near], distance, lambda _: True).target.id
-        for _ in range(50)
-    }
-    assert chosen == {"near"}
+
+    def choose(candidates, has_place=lambda _: True):
+        return _placement.choose(candidates, distance, has_place, answer_s=1.0)
+
+    assert {choose([far, near]).target.id for _ in range(50)} == {"near"}
     near.in_flight = 4
-    chosen = _placement.choose([far, near], distance, lambda _: True)
-    assert chosen is far
-    assert _placement.choose([far], distance, lambda _: False) is None
+    assert choose([far, near]) is far
+    assert choose([far], lambda _: False) is None
+
+
+def test_target_about_to_switch_takes_what_no_other_can(moving):
+    distance = _placement.distances("z1", {"z1": "r1", "z2": "r1"})
+    near, far = make("near"), make("far", zone="z2")
+
+    def choose():
+        return _placement.choose(
+            [near, far], distance, lambda s: s.places > 0, answer_s=1.0
+        )
+
+    near.switches_at = moving.now + 5.0
+    far.in_flight = 1
+    assert {choose() for _ in range(50)} == {near}
+    # Due in a fifth of the time that an answer takes.
+    near.switches_at = moving.now + 0.2
+    far.in_flight = 5
+    assert {choose() for _ in range(50)} == {far}
+    far.in_flight = far.full_at
+    assert choose() is near
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -22,6 +22,10 @@
 # part of the old estimate that each new measurement keeps.
 FIRST_EVENT_S = 0.2
 FIRST_EVENT_MEMORY = 0.9
+# Whole time of an answer that is expected at first, and the part of the old
+# estimate that each new measurement keeps.
+ANSWER_S = 1.0
+ANSWER_MEMORY = 0.95
 # Answers take longer than the mean; this share of it is allowed for.
 FIRST_EVENT_SHARE = 1.3
 # Completions are counted over this time.
@@ -48,6 +52,7 @@
         self.distance = distance
         self.queue = requests.FairQueue()
         self.first_event_s = FIRST_EVENT_S
+        self.answer_s = ANSWER_S
         self.completions: collections.deque[float] = collections.deque()
 
     def acquire_again(self, call: _call.Call) -> _target_state.TargetState:
@@ -65,6 +70,7 @@
             self.book.candidates(self.service, call.model, call.tried),
             self.distance,
             lambda _: True,
+            answer_s=self.answer_s,
         )
         if state is None:
             raise self._refusal(errors.ResultCode.NO_TARGET)
@@ -118,6 +124,11 @@
         kept = FIRST_EVENT_MEMORY * self.first_event_s
         self.first_event_s = kept + (1 - FIRST_EVENT_MEMORY) * took_s
 
+    def note_answer(self, took_s: float) -> None:
+        """Learn how long whole answers take."""
+        kept = ANSWER_MEMORY * self.answer_s
+        self.answer_s = kept + (1 - ANSWER_MEMORY) * took_s
+
     def pump(self) -> None:
         """Let as many requests go on as places are free."""
         if not len(self.queue):
@@ -137,6 +148,7 @@
             self.book.candidates(self.service, call.model, call.tried),
             self.distance,
             self._has_place,
+            answer_s=self.answer_s,
         )
 
     def _has_place(self, state: _target_state.TargetState) -> bool:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -101,6 +101,7 @@
             )
             self._judge(attempt, state)
             if attempt.outcome is _call.Outcome.ANSWERED:
+                admission.note_answer(time.monotonic() - attempt.begun_at)
                 return
             if not self._may_repeat(exchange, attempt):
                 exchange.give_up(attempt)
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import logging
 import socket
+import time
 
 import eventlet
 from eventlet.green import socket as green_socket
@@ -18,6 +19,7 @@
 MAX_DATAGRAM_BYTES = 2048
 # Pause after a datagram that could not be read.
 RETRY_S = 0.02
+MS_PER_S = 1000.0
 
 
 class LoadListener:
@@ -100,6 +102,11 @@
             state.entries = max(report.entries, 1)
             state.note_load(report.running, report.waiting)
             state.switching = report.switching
+            state.switches_at = (
+                float("inf")
+                if report.switch_in_ms is None
+                else time.monotonic() + report.switch_in_ms / MS_PER_S
+            )
             state.weights = report.weights
             self.on_report()
 
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 import random
+import time
 
 from zinniadyke.gateway import _target_state
 
@@ -14,12 +15,17 @@
 # regions are dear and 1.8 ms away.
 OTHER_ZONE_LOAD = 0.3
 OTHER_REGION_LOAD = 1.0
+# Requests at a target that equal a stream that is cut and goes on elsewhere:
+# its prompt is read again, and its caller sees a long pause.
+CUT_LOAD = 8.0
 
 
 def choose(
     candidates: Iterable[_target_state.TargetState],
     distance: Callable[[str], float],
     has_place: Callable[[_target_state.TargetState], bool],
+    *,
+    answer_s: float,
 ) -> _target_state.TargetState | None:
     """Return the best target, or None when all are full.
 
@@ -29,17 +35,30 @@
         Returns the load that reaching an availability zone is worth.
     has_place
         Returns whether a target may get the request now.
+    answer_s
+        Time that an answer takes, in seconds; a target that changes its
+        weights before then likely cuts it.
     """
+    now = time.monotonic()
     best, best_cost = None, float("inf")
     for state in candidates:
         if not has_place(state):
             continue
-        cost = state.load + distance(state.target.zone) + random.random() * 0.5
+        cost = state.load + distance(state.target.zone)
+        cost += CUT_LOAD * _cut_share(state.switches_at - now, answer_s)
+        cost += random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
     return best
 
 
+def _cut_share(left_s: float, answer_s: float) -> float:
+    """Return how likely an answer lasts until its target is taken away."""
+    if left_s >= answer_s:
+        return 0.0
+    return 1.0 - max(left_s, 0.0) / answer_s
+
+
 def distances(zone: str, regions: dict[str, str]) -> Callable[[str], float]:
     """Return the distance of each availability zone from ``zone``."""
 
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -37,6 +37,9 @@
         Of the places that were free then, those that this entry may take.
     switching
         Whether it takes nothing new because it changes its weights.
+    switches_at
+        Monotonic time at which it is going to change its weights, which
+        cuts what runs there.
     """
 
     def __init__(self, *, target: directory.Target) -> None:
@@ -50,6 +53,7 @@
         self.share = 0
         self.weights: dict | None = None
         self.switching = False
+        self.switches_at = float("inf")
         self.failures = 0
         self.rests_until = float("-inf")
 
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -42,6 +42,8 @@
         Entries that ask for these reports.
     switching
         Whether it takes nothing new because it changes its weights.
+    switch_in_ms
+        Time until it changes its weights; None when that is not near.
     weights
         Version of each model that it holds whole.
     named
@@ -54,6 +56,7 @@
     waiting: int
     entries: int
     switching: bool
+    switch_in_ms: int | None
     weights: dict[str, int]
     named: NamedAges
 
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -74,6 +74,7 @@
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
         self.client = _peer_client.PeerClient(port=loaded.host.ports[0])
+        reporter.switch_in_s = self._switch_in_s
         peer_server.holds = self._holds
         peer_server.piece_count = self._piece_count
         self.targets_read_at = float("-inf")
@@ -258,6 +259,27 @@
             count=len(ips),
         )
 
+    def _switch_in_s(self) -> float | None:
+        """Return the time until the target loads other weights."""
+        model = self._model()
+        if model is None or not self._held(model):
+            return None
+        return min(
+            (
+                self._loadable_in_s(store)
+                for store in self.peer_server.stores
+                if store.model == model and store.version > self._held(model)
+            ),
+            default=None,
+        )
+
+    def _loadable_in_s(self, store: _pieces.PieceStore) -> float:
+        """Return the time until a version is here and its turn has come."""
+        to_fetch = len(store.missing) * self._engine().chunk_bytes
+        fetched_in_s = to_fetch / self.bucket.bytes_per_s
+        turn_in_s = self._turn(store.model, store.version) - time.monotonic()
+        return max(turn_in_s, fetched_in_s)
+
     def _may_cut(self) -> bool:
         """Whether all streams of the service can go on elsewhere."""
         service = self._service()
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -1,5 +1,6 @@
 """Reads the target's load and tells the entries that asked for it."""
 
+from collections.abc import Callable
 import logging
 import socket
 import time
@@ -26,6 +27,9 @@
 RETRY_S = 0.02
 # Failed readings in a row after which the target counts as down.
 FAILURES_TO_DOWN = 3
+# A change of weights is told this long before: streams take a second or two.
+SWITCH_TOLD_S = 2.0
+MS_PER_S = 1000.0
 
 
 class LoadReporter:
@@ -35,6 +39,9 @@
     ----------
     latest
         The target's newest report; None while it does not answer.
+    switch_in_s
+        Returns the time until the target changes its weights, in seconds;
+        None when no change is planned.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         self.target = target
         self.view = view
         self.latest: platform.EngineReport | None = None
+        self.switch_in_s: Callable[[], float | None] = lambda: None
         self.subscribers: dict[tuple[str, int], float] = {}
         self.last_sent: reports.LoadReport | None = None
         self.last_sent_at = float("-inf")
@@ -105,11 +113,18 @@
                 waiting=report.waiting,
                 entries=max(len(self.subscribers), 1),
                 switching=switching,
+                switch_in_ms=self._switch_in_ms(),
                 weights=report.weights,
                 named=self.view.named_ages(),
             )
         )
 
+    def _switch_in_ms(self) -> int | None:
+        left_s = self.switch_in_s()
+        if left_s is None or left_s > SWITCH_TOLD_S:
+            return None
+        return int(max(left_s, 0.0) * MS_PER_S)
+
     def _send(self, report: reports.LoadReport) -> None:
         now = time.monotonic()
         if self._same(report) and now < self.last_sent_at + REPEAT_S:
@@ -126,10 +141,14 @@
                 LOG.debug("not sent", extra={"reason": str(error)})
 
     def _same(self, report: reports.LoadReport) -> bool:
-        """Whether nothing but ages has changed since the last report."""
+        """Whether nothing but times has changed since the last report."""
         last = self.last_sent
-        return last is not None and report == msgspec.structs.replace(
-            last, named=report.named
+        if last is None or (
+            (last.switch_in_ms is None) != (report.switch_in_ms is None)
+        ):
+            return False
+        return report == msgspec.structs.replace(
+            last, named=report.named, switch_in_ms=report.switch_in_ms
         )
 
     def _note_failure(self, error: errors.EngineError) -> None:
