Pieces in ranges, their news by datagrams; 92% of the downlink

Cause: while weights came in, the time to a stream's first event rose from 150 to 250-320 ms at p50. A host's link carried more than it can: 80% of weights, 11% of events, and 15% of answers over HTTP that told each of nine peers of each piece; whole pieces from several peers at once queued in the downlink, before requests. Now news of pieces are datagrams of some 60 bytes, at most ten a second and peer; pieces come in ranges of 8 KB, eight at once, one from the origin; weights may take 92% of the downlink, where no events pass. Found on the way: a target added after a change of weights was told of no piece by peers that had forgotten theirs and read the origin; the new test failed first (16 reads instead of 8).

--- /dev/null
+++ b/tests/sidecar/test_piece_news.py
@@ -0,0 +1,136 @@
+import eventlet
+from eventlet.green import socket
+
+from tests.gateway import deployment as deploy
+from zinniadyke import reports
+from zinniadyke.sidecar import _piece_news
+from zinniadyke.sidecar import _pieces
+
+
+class Agent:
+    """The datagram side of an agent."""
+
+    def __init__(self, ip, port, held):
+        self.ip = ip
+        self.held = held
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind((ip, port))
+        self.news = _piece_news.PieceNews(
+            sock=self.sock, port=port, held=lambda model, version: self.held
+        )
+        self.sent = 0
+        self.tasks = [
+            eventlet.spawn(self.receive),
+            eventlet.spawn(self.news.tell),
+        ]
+
+    def receive(self):
+        while True:
+            data, sender = self.sock.recvfrom(2048)
+            message = reports.decode(data)
+            if isinstance(message, reports.PieceQuery):
+                self.news.take_query(message, sender)
+            else:
+                self.sent += 1
+                self.news.take_report(message, sender)
+
+    def stop(self):
+        for task in self.tasks:
+            task.kill()
+        self.sock.close()
+
+
+def store(version=2):
+    return _pieces.PieceStore(model="m", version=version, digests=("",) * 8)
+
+
+def watch(agent, hosts, version=2):
+    have, gone = {}, {}
+    task = eventlet.spawn(
+        agent.news.watch,
+        store(version),
+        hosts,
+        have.__setitem__,
+        gone.__setitem__,
+    )
+    return have, gone, task
+
+
+def test_peers_tell_what_they_have_and_what_comes_later():
+    port = deploy.free_port()
+    one = Agent("127.8.1.1", port, set())
+    other = Agent("127.8.1.2", port, {1, 5})
+    have, gone, task = watch(one, [other.ip])
+    try:
+        assert deploy.wait_until(lambda: have.get(other.ip) == {1, 5}, 2.0)
+        other.held = {0, 1, 5, 7}
+        assert deploy.wait_until(
+            lambda: have.get(other.ip) == {0, 1, 5, 7}, 2.0
+        )
+        assert not gone
+    finally:
+        task.kill()
+        one.stop()
+        other.stop()
+
+
+def test_news_of_another_version_is_left_out():
+    port = deploy.free_port()
+    one = Agent("127.8.2.1", port, set())
+    have, _, task = watch(one, [], version=3)
+    try:
+        eventlet.sleep(0.05)
+        late = reports.PieceReport(model="m", version=2, have=b"\x01")
+        one.news.take_report(late, ("127.8.2.9", port))
+        assert not have
+        now = reports.PieceReport(model="m", version=3, have=b"\x05")
+        one.news.take_report(now, ("127.8.2.9", port))
+        assert have == {"127.8.2.9": {0, 2}}
+    finally:
+        task.kill()
+        one.stop()
+
+
+def test_silent_peer_is_gone_and_has_nothing_until_it_answers():
+    port = deploy.free_port()
+    one = Agent("127.8.3.1", port, set())
+    other = Agent("127.8.3.2", port, {3})
+    have, gone, task = watch(one, [other.ip])
+    try:
+        assert deploy.wait_until(lambda: have.get(other.ip) == {3}, 2.0)
+        other.stop()
+        assert deploy.wait_until(lambda: gone.get(other.ip) is True, 4.0)
+        assert have[other.ip] == set()
+        other = Agent("127.8.3.2", port, {3, 4})
+        assert deploy.wait_until(lambda: gone.get(other.ip) is False, 4.0)
+        assert deploy.wait_until(lambda: have.get(other.ip) == {3, 4}, 2.0)
+    finally:
+        task.kill()
+        one.stop()
+        other.stop()
+
+
+def test_pieces_that_come_together_are_told_together():
+    port = deploy.free_port()
+    one = Agent("127.8.4.1", port, set())
+    other = Agent("127.8.4.2", port, set())
+    have, _, task = watch(one, [other.ip])
+    try:
+        assert deploy.wait_until(lambda: other.ip in have, 2.0)
+        before = one.sent
+        for index in range(8):
+            other.held = {*other.held, index}
+        assert deploy.wait_until(lambda: len(have[other.ip]) == 8, 2.0)
+        # One for the pieces, and at most one answer to a repeated query.
+        assert one.sent - before <= 2
+    finally:
+        task.kill()
+        one.stop()
+        other.stop()
+
+
+def test_sets_of_indexes_keep_their_members():
+    for indexes in (set(), {0}, {7, 8}, set(range(64)), {63}):
+        data = reports.encode_indexes(indexes)
+        assert reports.decode_indexes(data) == indexes
+        assert len(data) <= 8
--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -215,3 +215,24 @@
         made.register(made.ips[0])
         assert made.all_hold(1)
         made.check_loads()
+
+
+def test_new_target_gets_forgotten_pieces_from_its_peers():
+    with fleet(1, 1) as made:
+        made.name(2)
+        assert made.all_hold(2)
+        for agent in made.agents.values():
+            for store in agent.peer_server.stores:
+                store.pieces.clear()
+        before = made.origin.reads
+        new = f"{made.ips[0].rpartition('.')[0]}.9"
+        made.servers[new] = fakes.FakeModelServer(
+            model=MODEL, pieces=PIECES, version=0, address=f"{new}:0"
+        )
+        for ip in (*made.ips, new):
+            made.register(ip)
+        made.start(new)
+        made.agents[new].keeper.view.learn_named(MODEL, 2, 0.0)
+        assert made.all_hold(2)
+        assert made.origin.reads == before
+        made.check_loads()
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -1,9 +1,25 @@
-"""Load reports that agents send to entries, as datagrams."""
+"""Datagrams that agents and entries send to one another."""
 
+from zinniadyke.reports._indexes import decode_indexes
+from zinniadyke.reports._indexes import encode_indexes
 from zinniadyke.reports._messages import decode
 from zinniadyke.reports._messages import encode
 from zinniadyke.reports._messages import LoadReport
+from zinniadyke.reports._messages import Message
+from zinniadyke.reports._messages import PieceQuery
+from zinniadyke.reports._messages import PieceReport
 from zinniadyke.reports._messages import Subscribe
 from zinniadyke.reports._named import learn_named
 
-__all__ = ["LoadReport", "Subscribe", "decode", "encode", "learn_named"]
+__all__ = [
+    "LoadReport",
+    "Message",
+    "PieceQuery",
+    "PieceReport",
+    "Subscribe",
+    "decode",
+    "decode_indexes",
+    "encode",
+    "encode_indexes",
+    "learn_named",
+]
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between entries and agents.
+"""Datagrams between entries and agents, and between agents.
 
 Plain datagrams take the place of pyzmq here: a report that is lost is
 followed by a newer one, and a process does without the 10 MB that the
@@ -61,7 +61,32 @@
     named: NamedAges
 
 
-Message = Subscribe | LoadReport
+class PieceQuery(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=3
+):
+    """An agent wants to know which pieces another has, for a second."""
+
+    model: str
+    version: int
+
+
+class PieceReport(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=4
+):
+    """The pieces of a version that an agent has.
+
+    Attributes
+    ----------
+    have
+        Their indexes, as a bit string.
+    """
+
+    model: str
+    version: int
+    have: bytes
+
+
+Message = Subscribe | LoadReport | PieceQuery | PieceReport
 
 _DECODER = msgspec.msgpack.Decoder(Message)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -13,6 +13,7 @@
 from zinniadyke import platform
 from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _pick
+from zinniadyke.sidecar import _piece_news
 from zinniadyke.sidecar import _pieces
 from zinniadyke import telemetry
 
@@ -20,8 +21,8 @@
 
 # Pieces that are asked for at once, and of them of the origin: all agents
 # share its few connections.
-TRANSFERS_AT_ONCE = 5
-ORIGIN_CALLS = 2
+TRANSFERS_AT_ONCE = 8
+ORIGIN_CALLS = 1
 # Longest sleep while nothing can be asked for.
 CHECK_S = 0.1
 # Rounds of reading back and mending what lies at the target.
@@ -51,6 +52,7 @@
         store: _pieces.PieceStore,
         swarm: _pick.Swarm,
         client: _peer_client.PeerClient,
+        news: _piece_news.PieceNews,
         wanted: Callable[[], ids.WeightsVersion],
         bucket: pacing.TokenBucket,
         piece_bytes: int,
@@ -61,6 +63,7 @@
         self.store = store
         self.swarm = swarm
         self.client = client
+        self.news = news
         self.wanted = wanted
         self.bucket = bucket
         self.piece_bytes = piece_bytes
@@ -78,21 +81,17 @@
         SupersededError
             Another version is wanted.
         """
-        watchers = [
-            eventlet.spawn(
-                self.client.watch,
-                host_ip,
-                self.store,
-                self._note_have,
-                self._note_gone,
-            )
-            for host_ip in self.swarm.watched()
-        ]
+        watcher = eventlet.spawn(
+            self.news.watch,
+            self.store,
+            self.swarm.watched(),
+            self._note_have,
+            self._note_gone,
+        )
         try:
             self._fetch_all()
         finally:
-            for watcher in watchers:
-                watcher.kill()
+            watcher.kill()
 
     def verify(self) -> None:
         """Read back what lies at the target and mend it from here.
@@ -173,7 +172,6 @@
                 continue
             self.in_flight.add(choice.index)
             self.asked[choice.host_ip] += 1
-            self.bucket.take(self.piece_bytes)
             eventlet.spawn_n(self._transfer, choice)
 
     def _transfer(self, choice: _pick.Choice) -> None:
@@ -199,13 +197,20 @@
     def _ask(self, choice: _pick.Choice) -> bytes | None:
         store = self.store
         if choice.kind is _pick.SourceKind.PEER:
-            piece = self.client.piece(choice.host_ip, store, choice.index)
+            piece = self.client.piece(
+                choice.host_ip,
+                store,
+                choice.index,
+                size=self.piece_bytes,
+                pace=self.bucket.take,
+            )
             if piece is None:
                 self.have.pop(choice.host_ip, None)
             if piece is not None:
                 self.from_peers += 1
                 telemetry.count(telemetry.Metric.CHUNKS_PEER_BYTES, len(piece))
             return piece
+        self.bucket.take(self.piece_bytes)
         try:
             piece = self.origin.piece(store.model, store.version, choice.index)
         except errors.WeightsError as error:
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -11,12 +11,14 @@
 from zinniadyke import ids
 from zinniadyke import pacing
 from zinniadyke import platform
+from zinniadyke import reports
 from zinniadyke import settings
 from zinniadyke.sidecar import _bring
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pick
+from zinniadyke.sidecar import _piece_news
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _schedule
 from zinniadyke import telemetry
@@ -75,6 +77,13 @@
         self.origin: platform.OriginClient | None = None
         self.client = _peer_client.PeerClient(port=loaded.host.ports[0])
         reporter.switch_in_s = self._switch_in_s
+        self.news = _piece_news.PieceNews(
+            sock=reporter.sock,
+            port=loaded.host.ports[0],
+            held=peer_server.held,
+        )
+        reporter.handlers[reports.PieceQuery] = self.news.take_query
+        reporter.handlers[reports.PieceReport] = self.news.take_report
         peer_server.holds = self._holds
         peer_server.piece_count = self._piece_count
         self.targets_read_at = float("-inf")
@@ -212,8 +221,6 @@
         named_at = self.view.named_at.get(model)
         if not named_at:
             return FIRST_VERSION
-        engine = self._engine()
-        fetch_s = engine.chunks * engine.chunk_bytes / self.bucket.bytes_per_s
         whole = [
             store.version
             for store in self.peer_server.stores
@@ -226,9 +233,14 @@
             now=time.monotonic(),
             bound_s=self.settings.bounds.version_ms / MS_PER_S
             - _schedule.ENTRY_MARGIN_S,
-            bring_s=fetch_s * _schedule.SWARM_FACTOR + _schedule.LOAD_S,
+            bring_s=self._fetch_s(self._engine().chunks) + _schedule.LOAD_S,
         )
 
+    def _fetch_s(self, pieces: int) -> float:
+        """Return the time that fetching some pieces takes, in seconds."""
+        link_s = pieces * self._engine().chunk_bytes / self.bucket.bytes_per_s
+        return link_s * _schedule.SWARM_FACTOR
+
     def _to_load(self, model: ids.ModelName) -> _pieces.PieceStore | None:
         """Return the newest whole version that the target lacks."""
         if self.reporter.latest is None:
@@ -275,10 +287,8 @@
 
     def _loadable_in_s(self, store: _pieces.PieceStore) -> float:
         """Return the time until a version is here and its turn has come."""
-        to_fetch = len(store.missing) * self._engine().chunk_bytes
-        fetched_in_s = to_fetch / self.bucket.bytes_per_s
         turn_in_s = self._turn(store.model, store.version) - time.monotonic()
-        return max(turn_in_s, fetched_in_s)
+        return max(turn_in_s, self._fetch_s(len(store.missing)))
 
     def _may_cut(self) -> bool:
         """Whether all streams of the service can go on elsewhere."""
@@ -299,6 +309,7 @@
             store=store,
             swarm=self._swarm(model, store.version),
             client=self.client,
+            news=self.news,
             wanted=lambda: self._to_fetch(model),
             bucket=self.bucket,
             piece_bytes=self._engine().chunk_bytes,
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -37,6 +37,8 @@
 
     Attributes
     ----------
+    handlers
+        What takes each kind of datagram, with its sender.
     latest
         The target's newest report; None while it does not answer.
     switch_in_s
@@ -63,11 +65,14 @@
         self.last_sent: reports.LoadReport | None = None
         self.last_sent_at = float("-inf")
         self.failures = 0
+        self.handlers: dict[type, Callable] = {
+            reports.Subscribe: self._take_subscription
+        }
         self.sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((ip, port))
 
     def receive(self) -> None:
-        """Take in what entries ask, for ever."""
+        """Take in datagrams, for ever."""
         while True:
             try:
                 data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
@@ -76,9 +81,15 @@
                 LOG.warning("bad datagram", extra={"reason": str(error)})
                 eventlet.sleep(RETRY_S)
                 continue
-            if isinstance(message, reports.Subscribe):
-                self.subscribers[sender] = time.monotonic()
-                reports.learn_named(self.view, message.named)
+            handler = self.handlers.get(type(message))
+            if handler is not None:
+                handler(message, sender)
+
+    def _take_subscription(
+        self, message: reports.Subscribe, sender: tuple[str, int]
+    ) -> None:
+        self.subscribers[sender] = time.monotonic()
+        reports.learn_named(self.view, message.named)
 
     def run(self) -> None:
         """Read and send reports, for ever."""
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -1,11 +1,9 @@
-"""Asks other agents for pieces, and what they have."""
+"""Asks other agents for pieces."""
 
 from collections.abc import Callable
 import http
 import logging
-import time
 
-import eventlet
 import urllib3
 
 from zinniadyke.sidecar import _peer_server
@@ -16,14 +14,10 @@
 CONNECT_TIMEOUT_S = 1.0
 # A piece takes some 70 ms on a free link, several share it.
 READ_TIMEOUT_S = 1.6
-# Longest wait of a peer for a change of what it has.
-WAIT_S = 0.6
-# A peer that did not answer, or has nothing yet, is asked again after this.
-RETRY_S = 0.2
-CONNECTIONS = 6
-# Silence after which others do a peer's part: a process that is killed is
-# back sooner.
-GONE_S = 1.2
+CONNECTIONS = 8
+# Pieces are asked for in ranges of this size: whole ones from several peers
+# at once would queue in the host's link, before the requests that come in.
+RANGE_BYTES = 8192
 
 
 class PeerClient:
@@ -42,45 +36,39 @@
         self.silent: set[str] = set()
 
     def piece(
-        self, host_ip: str, store: _pieces.PieceStore, index: int
-    ) -> bytes | None:
-        """Return the bytes of a piece, unchecked; None if not to be had."""
-        path = f"{_peer_server.PIECE_PATH}?{_query(store)}&index={index}"
-        return self._get(host_ip, path)
-
-    def watch(
         self,
         host_ip: str,
         store: _pieces.PieceStore,
-        on_pieces: Callable[[str, set[int]], None],
-        on_gone: Callable[[str, bool], None],
-    ) -> None:
-        """Report what a peer has, whenever that changes; until killed."""
-        known = 0
-        heard_at = time.monotonic()
-        gone = False
-        while True:
-            data = self._get(
+        index: int,
+        *,
+        size: int,
+        pace: Callable[[int], None],
+    ) -> bytes | None:
+        """Return the bytes of a piece, unchecked; None if not to be had.
+
+        Parameters
+        ----------
+        pace
+            Waits until some bytes may be asked for.
+        """
+        path = f"{_peer_server.PIECE_PATH}?{_query(store)}&index={index}"
+        parts = []
+        for first in range(0, size, RANGE_BYTES):
+            wanted = min(RANGE_BYTES, size - first)
+            pace(wanted)
+            part = self._get(
                 host_ip,
-                f"{_peer_server.HAVE_PATH}?{_query(store)}"
-                f"&known={known}&wait={WAIT_S}",
+                path,
+                headers={"Range": f"bytes={first}-{first + wanted - 1}"},
             )
-            now = time.monotonic()
-            if data is not None or host_ip not in self.silent:
-                heard_at = now
-            if gone != (now - heard_at > GONE_S):
-                gone = not gone
-                on_gone(host_ip, gone)
-            if data is None:
-                on_pieces(host_ip, set())
-                known = 0
-                eventlet.sleep(RETRY_S)
-                continue
-            found = _peer_server.decode_indexes(data)
-            known = len(found)
-            on_pieces(host_ip, found)
+            if part is None:
+                return None
+            parts.append(part)
+        return b"".join(parts)
 
-    def _get(self, host_ip: str, path: str) -> bytes | None:
+    def _get(
+        self, host_ip: str, path: str, headers: dict[str, str] | None = None
+    ) -> bytes | None:
         pool = self.pools.get(host_ip)
         if pool is None:
             pool = self.pools[host_ip] = urllib3.HTTPConnectionPool(
@@ -90,6 +78,7 @@
             answer = pool.request(
                 "GET",
                 path,
+                headers=headers,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
                 ),
@@ -105,7 +94,10 @@
         if host_ip in self.silent:
             self.silent.discard(host_ip)
             LOG.info("peer answers", extra={"host": host_ip})
-        if answer.status != http.HTTPStatus.OK:
+        if answer.status not in (
+            http.HTTPStatus.OK,
+            http.HTTPStatus.PARTIAL_CONTENT,
+        ):
             return None
         return answer.data
 
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -6,13 +6,12 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import http
 import logging
+import re
 import time
 from urllib import parse
 
-import eventlet
 from eventlet import semaphore
 from eventlet import wsgi
 
@@ -28,10 +27,8 @@
 QUIET.addHandler(logging.NullHandler())
 
 PIECE_PATH = "/piece"
-# Tells which pieces are here, as soon as that are others than before.
-HAVE_PATH = "/have"
-# Longest time that a peer may wait for a piece that is on its way.
-MAX_WAIT_S = 1.0
+# The form of ranges that agents ask for.
+RANGE = re.compile(r"bytes=(\d+)-(\d+)", re.ASCII)
 # Pieces that are sent at once.
 UPLOADS_AT_ONCE = 6
 # Versions whose pieces are held: the one that the target is to load, and
@@ -103,12 +100,6 @@
             model = query["model"][0]
             version = int(query["version"][0])
             self.asked_at = time.monotonic()
-            if environ["PATH_INFO"] == HAVE_PATH:
-                known = int(query["known"][0])
-                wait_s = float(query["wait"][0])
-                return self._have(
-                    model, version, known, wait_s, start_response
-                )
             index = int(query["index"][0])
         except (KeyError, ValueError) as error:
             return _answer(
@@ -117,44 +108,37 @@
         piece = self._find(model, version, index)
         if piece is None:
             return _answer(start_response, http.HTTPStatus.NOT_FOUND)
-        return self._send(piece, start_response)
+        wanted = RANGE.fullmatch(environ.get("HTTP_RANGE", ""))
+        if wanted is None:
+            return self._send(start_response, http.HTTPStatus.OK, piece)
+        first, last = int(wanted[1]), int(wanted[2])
+        return self._send(
+            start_response,
+            http.HTTPStatus.PARTIAL_CONTENT,
+            piece[first : last + 1],
+        )
 
-    def _send(self, piece: bytes, start_response):
+    def _send(self, start_response, status: http.HTTPStatus, data: bytes):
         with self.uploads:
             write = start_response(
-                "200 OK", [("Content-Length", str(len(piece)))]
+                f"{status.value} {status.phrase}",
+                [("Content-Length", str(len(data)))],
             )
-            view = memoryview(piece)
-            for start in range(0, len(piece), PART_BYTES):
+            view = memoryview(data)
+            for start in range(0, len(data), PART_BYTES):
                 part = view[start : start + PART_BYTES]
                 self.bucket.take(len(part))
                 write(bytes(part))
-            self.sent_bytes += len(piece)
+            self.sent_bytes += len(data)
         return []
 
-    def _have(
-        self,
-        model: str,
-        version: int,
-        known: int,
-        wait_s: float,
-        start_response,
-    ):
+    def held(self, model: str, version: int) -> set[int]:
+        """Return the pieces of a version that are here."""
+        if self.holds(model, version):
+            # All pieces lie at the target, forgotten here or not.
+            return set(range(self.piece_count()))
         store = self.find_store(model, version)
-        end = time.monotonic() + min(wait_s, MAX_WAIT_S)
-        if store is None and self.holds(model, version):
-            # All pieces lie at the target, which holds this version.
-            everything = encode_indexes(range(self.piece_count()))
-            if known:
-                eventlet.sleep(min(wait_s, MAX_WAIT_S))
-            return _answer(start_response, http.HTTPStatus.OK, everything)
-        if store is None:
-            return _answer(start_response, http.HTTPStatus.NOT_FOUND)
-        while len(store.pieces) == known and time.monotonic() < end:
-            store.changed.wait(end - time.monotonic())
-        return _answer(
-            start_response, http.HTTPStatus.OK, encode_indexes(store.pieces)
-        )
+        return set(store.pieces) if store else set()
 
     def _find(self, model: str, version: int, index: int) -> bytes | None:
         store = self.find_store(model, version)
@@ -174,16 +158,6 @@
         return piece
 
 
-def encode_indexes(indexes: Iterable[int]) -> bytes:
-    """Return a set of indexes as text."""
-    return ",".join(str(index) for index in sorted(indexes)).encode()
-
-
-def decode_indexes(data: bytes) -> set[int]:
-    """Read a set of indexes; what is no number is left out."""
-    return {int(part) for part in data.split(b",") if part.isdigit()}
-
-
 def _answer(start_response, status: http.HTTPStatus, body: bytes | str = b""):
     if isinstance(body, str):
         body = body.encode()
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -15,8 +15,9 @@
 # the load of some 0.3 s.
 SWITCH_WINDOW_S = 1.6
 SWITCH_GAP_S = 0.35
-# Transfers in a swarm take this much longer than the link alone allows.
-SWARM_FACTOR = 1.12
+# Transfers in a swarm take this much longer than the downlink alone allows,
+# as less of the uplinks is free for weights.
+SWARM_FACTOR = 1.25
 # Entries stop using older weights this long before the bound.
 ENTRY_MARGIN_S = 0.8
 # Reading back, the order and the load itself.
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -10,11 +10,13 @@
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_server
 
-# Share of the host's link that weights may take; the rest is for requests.
-LINK_SHARE = 0.80
+# Shares of the host's link that weights may take: streams leave by it, and
+# hardly anything but weights comes in.
+UPLINK_SHARE = 0.80
+DOWNLINK_SHARE = 0.92
 BYTES_PER_MBIT = 125000
-# Bytes that may be asked for at once after a pause: two usual pieces.
-BURST_BYTES = 2 * 32768
+# Bytes that may be asked for at once after a pause: one usual piece.
+BURST_BYTES = 32768
 
 
 class Sidecar:
@@ -23,13 +25,13 @@
     def __init__(self, *, loaded: settings.PlatformProcessSettings) -> None:
         """Bind the sockets; :meth:`start` works."""
         host = loaded.host
-        bulk_rate = host.link_mbps * BYTES_PER_MBIT * LINK_SHARE
+        link_rate = host.link_mbps * BYTES_PER_MBIT
         view = directory.View()
         target = platform.ModelServerClient(address=loaded.target.address)
         self.peer_server = _peer_server.PeerServer(
             address=f"{host.ip}:{host.ports[0]}",
             target=target,
-            bytes_per_s=bulk_rate,
+            bytes_per_s=link_rate * UPLINK_SHARE,
         )
         self.reporter = _load_reporter.LoadReporter(
             ip=host.ip,
@@ -47,7 +49,8 @@
             reporter=self.reporter,
             peer_server=self.peer_server,
             bucket=pacing.TokenBucket(
-                bytes_per_s=bulk_rate, burst_bytes=BURST_BYTES
+                bytes_per_s=link_rate * DOWNLINK_SHARE,
+                burst_bytes=BURST_BYTES,
             ),
         )
 
@@ -61,6 +64,7 @@
                 self.reporter.run,
                 self.keeper.fetch,
                 self.keeper.switch,
+                self.keeper.news.tell,
             )
         ]
 
