--- a/tests/sidecar/test_pick.py
+++ b/tests/sidecar/test_pick.py
@@ -1,5 +1,6 @@
 import collections
 
+from zinniadyke import directory
 from zinniadyke.sidecar import _pick
 
 COUNT = 64
@@ -131,3 +132,55 @@
     me = PEERS[0]
     assert pick(swarm(me, []), {}).kind is _pick.SourceKind.ORIGIN
     assert pick(swarm(me, [me]), {}).kind is _pick.SourceKind.ORIGIN
+
+
+def target(host_ip, *, born_ms, version=0, zone="a"):
+    return directory.Target(
+        id=f"{host_ip}-{born_ms}",
+        service="s",
+        address=f"{host_ip}:80",
+        zone=zone,
+        slots=4,
+        leaving=False,
+        born_ms=born_ms,
+        weights={"m": version} if version else {},
+    )
+
+
+def test_host_with_an_old_registration_is_one_peer():
+    """After a restart of all, old registrations stand beside new ones."""
+    hosts = [f"10.0.0.{n}" for n in range(10)]
+    listed = [target(h, born_ms=1000, version=2) for h in hosts]
+    listed += [target(h, born_ms=2000) for h in reversed(hosts)]
+    peers = _pick.peers_of(
+        listed, {"a": "r1"}, model="m", version=2, my_ip=hosts[0]
+    )
+    assert sorted(p.host_ip for p in peers) == hosts
+    assert not any(p.holds for p in peers)
+    found = swarm(peers[0], peers)
+    assert len(found.readers) == COUNT
+
+
+def test_peer_that_holds_the_version_is_known_by_its_registration():
+    listed = [target("10.0.0.1", born_ms=1, version=2)]
+    (found,) = _pick.peers_of(
+        listed, {"a": "r1"}, model="m", version=2, my_ip="10.0.0.2"
+    )
+    assert found == _pick.Peer(host_ip="10.0.0.1", region="r1", holds=True)
+    (own,) = _pick.peers_of(
+        listed, {"a": "r1"}, model="m", version=2, my_ip="10.0.0.1"
+    )
+    assert not own.holds
+
+
+def test_holder_that_lacks_pieces_is_none():
+    """Its registration is older than its restart."""
+    peers = [peer(n, holds=n < 9) for n in range(10)]
+    found = swarm(peers[9], peers)
+    assert not any(found.is_first_reader(n) for n in range(COUNT))
+    for stale in peers[:9]:
+        found.note_pieces(stale.host_ip, set())
+    assert not found.holders
+    assert any(found.is_first_reader(n) for n in range(COUNT))
+    found.note_pieces(peers[0].host_ip, set(range(COUNT)))
+    assert found.holders == [peers[0]]
--- a/tests/sidecar/test_piece_news.py
+++ b/tests/sidecar/test_piece_news.py
@@ -49,7 +49,7 @@
     task = eventlet.spawn(
         agent.news.watch,
         store(version),
-        hosts,
+        lambda: hosts,
         have.__setitem__,
         gone.__setitem__,
     )
--- a/zinniadyke/gateway/_book.py
+++ b/zinniadyke/gateway/_book.py
@@ -11,7 +11,7 @@
 
 # Requests stop going to targets with older weights this long before the
 # bound, as one may still wait for its turn there.
-VERSION_MARGIN_S = 0.8
+VERSION_MARGIN_S = 0.5
 # A request that has not begun on older weights by then is taken back.
 BEGIN_MARGIN_S = 0.2
 
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -84,7 +84,7 @@
         watcher = eventlet.spawn(
             self.news.watch,
             self.store,
-            self.swarm.watched(),
+            self.swarm.watched,
             self._note_have,
             self._note_gone,
         )
@@ -223,6 +223,7 @@
 
     def _note_have(self, host_ip: str, indexes: set[int]) -> None:
         self.have[host_ip] = indexes
+        self.swarm.note_pieces(host_ip, indexes)
         self.store.changed.send()
 
     def _note_gone(self, host_ip: str, gone: bool) -> None:
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -259,7 +259,8 @@
         self, model: ids.ModelName, version: ids.WeightsVersion
     ) -> float:
         """Return when this target switches; others have other turns."""
-        ips = [t.host_ip for t in self.view.of_service(self._service())]
+        targets = self.view.of_service(self._service())
+        ips = sorted({t.host_ip for t in targets})
         my_ip = self.settings.host.ip
         named_at = self.view.named_at.get(model, {}).get(version)
         if named_at is None or my_ip not in ips:
@@ -322,15 +323,13 @@
             self.targets.relist()
             self.targets_read_at = time.monotonic()
         my_ip = self.settings.host.ip
-        peers = [
-            _pick.Peer(
-                host_ip=target.host_ip,
-                region=self.regions.get(target.zone, ""),
-                holds=target.weights.get(model) == version
-                and target.host_ip != my_ip,
-            )
-            for target in self.view.of_service(self._service())
-        ]
+        peers = _pick.peers_of(
+            self.view.of_service(self._service()),
+            self.regions,
+            model=model,
+            version=version,
+            my_ip=my_ip,
+        )
         me = _pick.Peer(
             host_ip=my_ip, region=self.settings.host.region, holds=False
         )
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -41,6 +41,8 @@
         What takes each kind of datagram, with its sender.
     latest
         The target's newest report; None while it does not answer.
+    on_serving
+        Called after each reading with whether the target holds weights.
     switch_in_s
         Returns the time until the target changes its weights, in seconds;
         None when no change is planned.
@@ -60,6 +62,7 @@
         self.target = target
         self.view = view
         self.latest: platform.EngineReport | None = None
+        self.on_serving: Callable[[bool], None] = lambda serves: None
         self.switch_in_s: Callable[[], float | None] = lambda: None
         self.subscribers: dict[tuple[str, int], float] = {}
         self.last_sent: reports.LoadReport | None = None
@@ -106,6 +109,7 @@
         if self.latest is None:
             LOG.info("target answers", extra={"orders": report.orders})
         self.latest = report
+        self.on_serving(bool(report.weights))
         self._report(report, switching=report.order_runs)
 
     def announce_switch(self) -> None:
@@ -167,6 +171,7 @@
         if self.failures == FAILURES_TO_DOWN:
             LOG.warning("target silent", extra={"reason": error.message})
             self.latest = None
+            self.on_serving(False)
 
     def _layers(self) -> int:
         if self.view.configuration is None:
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -57,12 +57,10 @@
         *,
         address: str,
         target: platform.ModelServerClient,
-        bytes_per_s: float,
+        bucket: pacing.TokenBucket,
     ) -> None:
         """Bind the socket."""
-        self.bucket = pacing.TokenBucket(
-            bytes_per_s=bytes_per_s, burst_bytes=PART_BYTES
-        )
+        self.bucket = bucket
         self.target = target
         self.holds: Callable[[str, int], bool] = lambda model, version: False
         self.piece_count: Callable[[], int] = lambda: 0
--- a/zinniadyke/sidecar/_pick.py
+++ b/zinniadyke/sidecar/_pick.py
@@ -9,12 +9,15 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 import enum
 import random
 
 import msgspec
 
+from zinniadyke import directory
+from zinniadyke import ids
 from zinniadyke import rendezvous
 
 # Time after which a piece that nobody seems to have is read from the origin
@@ -71,13 +74,17 @@
     gone
         Hosts of agents that do not answer; the next in order does their
         part.
+    lacking
+        Hosts of agents that told of fewer than all pieces.
     """
 
     def __init__(self, *, me: Peer, peers: list[Peer], count: int) -> None:
         """Assign ``count`` pieces."""
         self.me = me
         self.peers = peers
+        self.count = count
         self.gone: set[str] = set()
+        self.lacking: set[str] = set()
         self.regions = {p.host_ip: p.region for p in peers}
         regional = [p for p in peers if p.region == me.region]
         self.readers = _assign(count, [p.host_ip for p in peers])
@@ -86,9 +93,15 @@
     @property
     def holders(self) -> list[Peer]:
         """Agents whose targets held the version before."""
-        return [
-            p for p in self.peers if p.holds and p.host_ip not in self.gone
-        ]
+        out = self.gone | self.lacking
+        return [p for p in self.peers if p.holds and p.host_ip not in out]
+
+    def note_pieces(self, host_ip: str, indexes: Collection[int]) -> None:
+        """Take in which pieces a peer has."""
+        if len(indexes) < self.count:
+            self.lacking.add(host_ip)
+        else:
+            self.lacking.discard(host_ip)
 
     def is_first_reader(self, index: int) -> bool:
         """Whether this agent takes a piece from the origin."""
@@ -129,6 +142,39 @@
         return not order
 
 
+def peers_of(
+    targets: Iterable[directory.Target],
+    regions: Mapping[str, str],
+    *,
+    model: ids.ModelName,
+    version: ids.WeightsVersion,
+    my_ip: str,
+) -> list[Peer]:
+    """Return the agents beside some targets, one a host.
+
+    The registration of a target that has started anew on its host stands
+    beside the old one until that lapses; the newest counts.
+
+    Parameters
+    ----------
+    regions
+        Region of each availability zone.
+    """
+    newest: dict[str, directory.Target] = {}
+    for target in targets:
+        known = newest.get(target.host_ip)
+        if known is None or target.born_ms >= known.born_ms:
+            newest[target.host_ip] = target
+    return [
+        Peer(
+            host_ip=host_ip,
+            region=regions.get(target.zone, ""),
+            holds=target.weights.get(model) == version and host_ip != my_ip,
+        )
+        for host_ip, target in sorted(newest.items())
+    ]
+
+
 def _assign(count: int, hosts: list[str]) -> list[list[str]]:
     """Return the order in which hosts are responsible for each piece.
 
--- a/zinniadyke/sidecar/_piece_news.py
+++ b/zinniadyke/sidecar/_piece_news.py
@@ -94,22 +94,29 @@
     def watch(
         self,
         store: _pieces.PieceStore,
-        hosts: list[str],
+        hosts: Callable[[], list[str]],
         on_pieces: Callable[[str, set[int]], None],
         on_gone: Callable[[str, bool], None],
     ) -> None:
-        """Report what hosts have and which are silent, until killed."""
+        """Report what hosts have and which are silent, until killed.
+
+        Parameters
+        ----------
+        hosts
+            Returns the hosts that matter now.
+        """
         self.watched, self.on_pieces = store, on_pieces
-        began_at = time.monotonic()
-        self.heard_at = dict.fromkeys(hosts, began_at)
+        self.heard_at = {}
         gone: set[str] = set()
         query = reports.PieceQuery(model=store.model, version=store.version)
         while True:
-            for host_ip in hosts:
+            asked = hosts()
+            for host_ip in asked:
+                self.heard_at.setdefault(host_ip, time.monotonic())
                 self._send(query, (host_ip, self.port))
             eventlet.sleep(ASK_S)
             silent_since = time.monotonic() - GONE_S
-            silent = {h for h in hosts if self.heard_at[h] < silent_since}
+            silent = {h for h in asked if self.heard_at[h] < silent_since}
             for host_ip in sorted(silent ^ gone):
                 LOG.info(
                     "peer silent" if host_ip in silent else "peer answers",
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -10,16 +10,16 @@
 from zinniadyke import ids
 
 # Kept back from the bound: reading back, the order and the load itself.
-SWITCH_MARGIN_S = 1.0
+SWITCH_MARGIN_S = 0.8
 # Targets switch one after the other over at most this time; each is out for
 # the load of some 0.3 s.
-SWITCH_WINDOW_S = 1.6
+SWITCH_WINDOW_S = 1.8
 SWITCH_GAP_S = 0.35
 # Transfers in a swarm take this much longer than the downlink alone allows,
 # as less of the uplinks is free for weights.
 SWARM_FACTOR = 1.25
 # Entries stop using older weights this long before the bound.
-ENTRY_MARGIN_S = 0.8
+ENTRY_MARGIN_S = 0.5
 # Reading back, the order and the load itself.
 LOAD_S = 0.45
 
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -3,21 +3,13 @@
 import eventlet
 
 from zinniadyke import directory
-from zinniadyke import pacing
 from zinniadyke import platform
 from zinniadyke import settings
+from zinniadyke.sidecar import _host_link
 from zinniadyke.sidecar import _keeper
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_server
 
-# Shares of the host's link that weights may take: streams leave by it, and
-# hardly anything but weights comes in.
-UPLINK_SHARE = 0.80
-DOWNLINK_SHARE = 0.92
-BYTES_PER_MBIT = 125000
-# Bytes that may be asked for at once after a pause: one usual piece.
-BURST_BYTES = 32768
-
 
 class Sidecar:
     """Keeps the target beside it on the weights that are wanted."""
@@ -25,13 +17,13 @@
     def __init__(self, *, loaded: settings.PlatformProcessSettings) -> None:
         """Bind the sockets; :meth:`start` works."""
         host = loaded.host
-        link_rate = host.link_mbps * BYTES_PER_MBIT
+        link = _host_link.HostLink(link_mbps=host.link_mbps)
         view = directory.View()
         target = platform.ModelServerClient(address=loaded.target.address)
         self.peer_server = _peer_server.PeerServer(
             address=f"{host.ip}:{host.ports[0]}",
             target=target,
-            bytes_per_s=link_rate * UPLINK_SHARE,
+            bucket=link.uplink,
         )
         self.reporter = _load_reporter.LoadReporter(
             ip=host.ip,
@@ -40,6 +32,7 @@
             target=target,
             view=view,
         )
+        self.reporter.on_serving = lambda serves: link.share(serves=serves)
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.keeper = _keeper.WeightsKeeper(
             loaded=loaded,
@@ -48,10 +41,7 @@
             target=target,
             reporter=self.reporter,
             peer_server=self.peer_server,
-            bucket=pacing.TokenBucket(
-                bytes_per_s=link_rate * DOWNLINK_SHARE,
-                burst_bytes=BURST_BYTES,
-            ),
+            bucket=link.downlink,
         )
 
     def start(self) -> None:
