A version found after an outage of the store counts from its end

Two versions were named while the store was silent. Now the first list after an outage counts from its end, as at those that had waited through it; entries that watch wait for their own sight; an own sight replaces an unknown age. An older age from any process still wins. Ruled out: agents that miss the versions (they had them at 26.25 s). Test ports are no longer taken from the range of outgoing connections: one run of test_shutdown_lets_requests_end... failed with 'address in use' when another socket had got the port between its choice and its use.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import http.client
+import itertools
+import os
 import socket
 import time
 
@@ -12,6 +14,11 @@
 from zinniadyke import settings
 
 KEY = "key-1"
+# Ports below those of outgoing connections (from 32768 on Linux); test runs
+# side by side begin at different ones.
+PORT_FIRST = 12000
+PORT_COUNT = 20000
+PORTS = itertools.count(os.getpid() * 97)
 
 
 def wait_until(condition, timeout_s=5.0):
@@ -25,10 +32,24 @@
 
 
 def free_port():
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody uses, for TCP and UDP.
+
+    It is below those that the kernel gives to outgoing connections: one of
+    them may take a port again between its choice here and its use.
+    """
+    for _ in range(PORT_COUNT):
+        port = PORT_FIRST + next(PORTS) % PORT_COUNT
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            try:
+                stream.bind(("", port))
+                datagrams.bind(("", port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no port is free")
 
 
 def route(name, **more):
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -46,7 +46,7 @@
     made = make(answer, version_ms=1500)
     try:
         made.start()
-        assert deploy.wait_until(lambda: made.gateway.view.versions_known)
+        assert deploy.wait_until(lambda: made.gateway.view.listed is not None)
         made.store.put("versions", "m", {"model": "m", "version": 2})
         assert deploy.wait_until(lambda: made.gateway.view.named)
         assert ask(made) == 200
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -71,9 +71,9 @@
         self.lost = False
 
     @property
-    def age_s(self) -> float:
-        """Seconds since the store last confirmed the state."""
-        return self.clock() - self.heard_at
+    def just_returned(self) -> bool:
+        """Whether the last answer was the first one after an outage."""
+        return self.returned_at == self.heard_at > float("-inf")
 
     def run(self) -> None:
         """Follow for ever."""
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -30,6 +30,11 @@
     named_at
         Monotonic time at which each version of a model was named, as far
         as known.
+    listed
+        Newest version of each model in this process's own lists; None
+        before the first.
+    watches_versions
+        Whether this process sees a version that is named within moments.
     on_change
         Called, without arguments, after each change.
     """
@@ -42,7 +47,8 @@
         self.named_at: dict[
             ids.ModelName, dict[ids.WeightsVersion, float]
         ] = {}
-        self.versions_known = False
+        self.listed: dict[ids.ModelName, ids.WeightsVersion] | None = None
+        self.watches_versions = False
         self.on_change: list[Callable[[], None]] = []
 
     @property
@@ -89,16 +95,35 @@
         kept.pop(name, None)
         self.set_targets(kept)
 
-    def set_named(self, named: list[_target.NamedVersion]) -> None:
+    def set_named(
+        self,
+        named: list[_target.NamedVersion],
+        *,
+        after_outage: bool = False,
+    ) -> None:
         """Take the versions that are named; a lower one is ignored.
 
-        When those of the first list were named is not known.
+        When those of the first list were named is not known. After an
+        outage of the store they count from its end, as those do that other
+        processes find there then.
+
+        Parameters
+        ----------
+        after_outage
+            Whether the store has just come back to this process.
         """
-        moment = time.monotonic() if self.versions_known else NOT_KNOWN
-        self.versions_known = True
+        known = self.listed is not None or after_outage
+        moment = time.monotonic() if known else NOT_KNOWN
+        listed = self.listed = self.listed or {}
         for entry in named:
+            if listed.get(entry.model, 0) >= entry.version:
+                continue
+            listed[entry.model] = entry.version
+            seen = self.named_at.get(entry.model, {})
             if self.named.get(entry.model, 0) < entry.version:
                 self._name(entry.model, entry.version, moment)
+            elif seen.get(entry.version) == NOT_KNOWN:
+                seen[entry.version] = moment
         self._notify()
 
     def learn_named(
@@ -113,16 +138,30 @@
         ----------
         age_s
             Time since that process saw it, in seconds; None if it does not
-            know.
+            know. A process that watches the versions waits for its own
+            sight of it then.
         """
-        moment = NOT_KNOWN if age_s is None else time.monotonic() - age_s
         known = self.named_at.get(model, {}).get(version)
-        if known is None and self.named.get(model, 0) < version:
+        if age_s is None:
+            sees_it = self.watches_versions and self.listed is not None
+            if known is None and not sees_it:
+                self._learn(model, version, NOT_KNOWN)
+            return
+        moment = time.monotonic() - age_s
+        if known is None:
+            self._learn(model, version, moment)
+        elif known == NOT_KNOWN or moment < known:
+            self.named_at[model][version] = moment
+
+    def _learn(
+        self,
+        model: ids.ModelName,
+        version: ids.WeightsVersion,
+        moment: float,
+    ) -> None:
+        if self.named.get(model, 0) < version:
             self._name(model, version, moment)
             self._notify()
-        elif known is not None and age_s is not None:
-            if known == NOT_KNOWN or moment < known:
-                self.named_at[model][version] = moment
 
     def named_ages(self) -> dict[str, dict[int, int | None]]:
         """Return the time since each recent version was named, in ms."""
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -51,6 +51,7 @@
         """Bind the sockets; :meth:`start` serves."""
         self.settings = loaded
         self.view = directory.View()
+        self.view.watches_versions = True
         self.store = platform.StoreClient(address=loaded.store.address)
         self.followers = [
             platform.follow_configuration(self.store, self.view),
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -46,9 +46,10 @@
                 named.append(_decode_target.decode_named_version(stored))
             except ValueError as error:
                 _log_unreadable(stored, error)
-        view.set_named(named)
+        view.set_named(named, after_outage=follower.just_returned)
 
-    return _follower(store, VERSIONS_KIND, take)
+    follower = _follower(store, VERSIONS_KIND, take)
+    return follower
 
 
 def follow_targets(
