Targets that another one has replaced are not asked

Old registrations stood beside those of the targets that had started anew, and said that they held weights; entries sent there, were told 421 (417 times in 2 s), tried another old one, and refused 182 requests in the first half second. Now the later start at an address counts, and a target that answers 421 is left out for 3 s, also as the last one. The tests failed first. Ruled out: targets that are really busy (loads of 0 to 7 of 16).

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -172,6 +172,16 @@
         assert [len(t.seen) for t in made.targets] == [1, 1]
 
 
+def test_address_of_another_target_is_not_asked_again():
+    def other(exchange):
+        exchange.answer(421)
+
+    with deploy.deployment(other, echo) as made:
+        for _ in range(20):
+            assert made.ask("/once/x")[0] == 200
+        assert len(made.targets[0].seen) <= 1
+
+
 def test_refusal_without_proof_promises_nothing():
     def doubtful(exchange):
         exchange.answer(503, b"busy")
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -136,6 +136,14 @@
         """Whether the target itself answered that it did not run it."""
         return self.outcome is _call.Outcome.NOT_RUN and self.sent
 
+    @property
+    def misdirected(self) -> bool:
+        """Whether another target answered at the address."""
+        return (
+            self.refused
+            and self.connection.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        )
+
     def break_off(self, reason: str) -> None:
         """End as broken: no whole answer came."""
         self._end(_call.Outcome.BROKEN, reason)
--- a/zinniadyke/gateway/_book.py
+++ b/zinniadyke/gateway/_book.py
@@ -1,5 +1,6 @@
 """The targets that an entry knows, with their load and health."""
 
+from collections.abc import Iterable
 import logging
 import time
 
@@ -40,6 +41,7 @@
         targets = self.view.targets or {}
         for name in self.states.keys() - targets.keys():
             del self.states[name]
+        newest_at = _newest_starts(targets.values())
         for name, target in targets.items():
             state = self.states.get(name)
             if state is None or (
@@ -48,6 +50,9 @@
                 self.states[name] = _target_state.TargetState(target=target)
             else:
                 state.target = target
+            self.states[name].outdated = (
+                0 < target.born_ms < newest_at[target.address]
+            )
 
     def is_current(self, state: _target_state.TargetState) -> bool:
         """Whether a target is still there and takes new requests."""
@@ -72,6 +77,7 @@
             for state in self.states.values()
             if state.target.service == service
             and not state.target.leaving
+            and not state.replaced
             and state.target.id not in tried
             and (not holds_weights or state.weights_of(model) >= max(least, 1))
         ]
@@ -109,7 +115,8 @@
             s
             for s in self.states.values()
             if s.target.service == service
-            and not (s.target.leaving or s.resting or s.switching)
+            and not (s.target.leaving or s.replaced)
+            and not (s.resting or s.switching)
             and (not engine or s.holds_weights)
         ]
 
@@ -117,3 +124,17 @@
         """Whether a service's targets run models."""
         found = self.view.configuration.services.get(service)
         return found is not None and found.engine is not None
+
+
+def _newest_starts(targets: Iterable[directory.Target]) -> dict[str, int]:
+    """Return the newest start at each address, in Unix milliseconds.
+
+    A target that started anew under another id stands beside its former
+    registration until that lapses.
+    """
+    newest: dict[str, int] = {}
+    for target in targets:
+        newest[target.address] = max(
+            newest.get(target.address, 0), target.born_ms
+        )
+    return newest
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -131,6 +131,8 @@
         ):
             state.note_success()
             return
+        if attempt.misdirected:
+            state.note_replaced()
         rests = state.note_failure() if not attempt.refused else False
         if rests:
             telemetry.count(
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -16,6 +16,9 @@
 REST_MAX_S = 4.0
 # Failures in a row until a target rests.
 FAILURES_TO_REST = 2
+# A target that was found replaced is not asked for this long; its
+# registration lapses within some seconds.
+REPLACED_S = 3.0
 
 
 class TargetState:
@@ -37,6 +40,8 @@
         Of the places that were free then, those that this entry may take.
     switching
         Whether it takes nothing new because it changes its weights.
+    outdated
+        Whether a target that started later is registered at the address.
     switches_at
         Monotonic time at which it is going to change its weights, which
         cuts what runs there.
@@ -56,6 +61,8 @@
         self.switches_at = float("inf")
         self.failures = 0
         self.rests_until = float("-inf")
+        self.outdated = False
+        self.replaced_until = float("-inf")
 
     def note_load(self, running: int, waiting: int) -> None:
         """Take a report of the requests at the target."""
@@ -82,6 +89,15 @@
         """Send the target nothing for some time."""
         self.rests_until = max(self.rests_until, time.monotonic() + seconds)
 
+    def note_replaced(self) -> None:
+        """Take in that another target has the address by now."""
+        self.replaced_until = time.monotonic() + REPLACED_S
+
+    @property
+    def replaced(self) -> bool:
+        """Whether another target has the address."""
+        return self.outdated or time.monotonic() < self.replaced_until
+
     @property
     def resting(self) -> bool:
         """Whether the target is left alone after failures."""
