One client of the platform; its stand-in speaks the users' protocol

The product's own records (configuration head and documents, leases, permits, fences, claims) were kept through a second HTTP client in a wire form of our own. They are now objects of kinds 'zinniadyke-...' in the store, through StoreClient: get, create, replace with a revision, lists and watches. Values are UTF-8 text in spec, so that they come back byte by byte. A watch of a record that rests longer than the store's history goes on from a list. Ruled out: values as JSON of their own, as a store may write them anew while digests are of bytes.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -15,11 +15,11 @@
 import tempfile
 import time
 
-import msgspec
 import processes
 import urllib3
 
 from zinniadyke import control
+from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import language
 from zinniadyke import objects
@@ -85,15 +85,21 @@
         return self.starter.start(["agent"], host.name, text)
 
     def _publish(self) -> None:
-        body = msgspec.json.encode(self.hosts)
         deadline = time.monotonic() + READY_LIMIT_S
-        while time.monotonic() < deadline:
-            try:
-                self.http.request("PUT", self.url + "/v1/hosts", body=body)
-                return
-            except urllib3.exceptions.HTTPError:
+        for host in self.hosts:
+            while not self._add(host):
+                if time.monotonic() > deadline:
+                    raise SystemExit("the platform's stand-in did not start")
                 time.sleep(0.1)
-        raise SystemExit("the platform's stand-in did not start")
+
+    def _add(self, host: platform.Host) -> bool:
+        try:
+            self.client.add_host(host)
+        except errors.ConflictError:
+            return True
+        except errors.PlatformError:
+            return False
+        return True
 
     def accept(self, number: int) -> int:
         """Make one change and return its revision."""
@@ -136,7 +142,7 @@
 
     def counters(self) -> dict[str, int]:
         """Return the platform's reads and writes so far."""
-        answer = self.http.request("GET", self.url + "/v1/counters")
+        answer = self.http.request("GET", self.url + "/counters")
         return json.loads(answer.data)
 
     def cpu_s(self) -> float:
--- a/zinniadyke/fakes/_store.py
+++ b/zinniadyke/fakes/_store.py
@@ -1,9 +1,10 @@
-"""Stand-in of the users' metadata store: lists, pages and watches."""
+"""Stand-in of the platform's store: objects, lists, pages and watches."""
 
 from urllib import parse
 
 import eventlet
 from eventlet import event
+import msgspec
 
 from zinniadyke.fakes import _http
 
@@ -24,7 +25,9 @@
         Status that every call is answered with; 0 while the store is up.
     silent
         Whether calls get no answer.
-    reads
+    lose_answers
+        That many writes take effect, and their answers are lost.
+    reads, writes
         Calls that were made.
     """
 
@@ -35,7 +38,9 @@
         self.page = page
         self.down = 0
         self.silent = False
+        self.lose_answers = 0
         self.reads = 0
+        self.writes = 0
         self.revision = 1
         self.oldest_change = 1
         self.objects: dict[str, dict[str, dict]] = {}
@@ -48,7 +53,7 @@
         """Stop serving."""
         self.server.stop()
 
-    def put(self, kind: str, name: str, spec: object) -> None:
+    def put(self, kind: str, name: str, spec: object) -> dict:
         """Create or replace an object, as operators and targets do."""
         self.revision += 1
         stored = {
@@ -64,6 +69,7 @@
         }
         self.objects.setdefault(kind, {})[name] = stored
         self._note(kind, stored, removed=False)
+        return stored
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
@@ -79,12 +85,19 @@
 
     def __call__(self, environ, start_response):
         """Serve one call."""
-        self.reads += 1
+        writes = environ["REQUEST_METHOD"] in ("POST", "PUT")
+        self.writes += writes
+        self.reads += not writes
         while self.silent:
             eventlet.sleep(0.02)
         if self.down:
             return _http.answer(start_response, f"{self.down} Down")
-        kind = environ["PATH_INFO"].removeprefix("/v1/objects/")
+        path = environ["PATH_INFO"].removeprefix("/v1/objects/")
+        kind, _, name = path.partition("/")
+        if writes:
+            return self._write(kind, environ, start_response)
+        if name:
+            return self._get(kind, name, start_response)
         query = {
             name: values[0]
             for name, values in parse.parse_qs(
@@ -95,13 +108,47 @@
             return self._watch(kind, query, start_response)
         return self._list(kind, query.get("after", ""), start_response)
 
+    def listed(self, kind: str) -> dict[str, dict]:
+        """Return the objects of a kind, by name, as a list shows them."""
+        return self.objects.get(kind, {})
+
+    def _get(self, kind: str, name: str, start_response):
+        found = self.objects.get(kind, {}).get(name)
+        if found is None:
+            return _http.answer(start_response, "404 Not Found")
+        return _http.answer_json(start_response, found)
+
+    def _write(self, kind: str, environ, start_response):
+        """Create or replace an object under the store's conditions."""
+        wanted = msgspec.json.decode(_http.read_body(environ))
+        name, revision = (
+            wanted["metadata"][field] for field in ("name", "revision")
+        )
+        present = self.objects.get(kind, {}).get(name)
+        if environ["REQUEST_METHOD"] == "POST":
+            if present is not None:
+                return _http.answer_json(
+                    start_response, present, "409 Conflict"
+                )
+        elif present is None:
+            return _http.answer(start_response, "404 Not Found")
+        elif revision and revision != present["metadata"]["revision"]:
+            return _http.answer_json(start_response, present, "409 Conflict")
+        if present is None or present["spec"] != wanted["spec"]:
+            present = self.put(kind, name, wanted["spec"])
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            _http.abort()
+        return _http.answer_json(start_response, present)
+
     def _list(self, kind: str, after: str, start_response):
-        names = sorted(n for n in self.objects.get(kind, {}) if n > after)
+        listed = self.listed(kind)
+        names = sorted(n for n in listed if n > after)
         shown = names[: self.page]
         return _http.answer_json(
             start_response,
             {
-                "items": [self.objects[kind][n] for n in shown],
+                "items": [listed[n] for n in shown],
                 "has_more": len(names) > len(shown),
                 "current_rev": self.revision,
             },
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -1,5 +1,6 @@
 """Client of the platform: objects, conditional updates, watches, hosts."""
 
+from zinniadyke.platform._client import HOSTS_KIND
 from zinniadyke.platform._client import PlatformClient
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_targets
@@ -18,6 +19,7 @@
 from zinniadyke.platform._update import write_settled
 
 __all__ = [
+    "HOSTS_KIND",
     "EngineReport",
     "Host",
     "HostRole",
--- a/zinniadyke/platform/_client.py
+++ b/zinniadyke/platform/_client.py
@@ -1,58 +1,61 @@
-"""HTTP client of the platform's object API.
-
-The wire form is plain HTTP with conditional requests: the revision is the
-entity tag, ``If-Match`` and ``If-None-Match`` make a write conditional, and
-a watch is a GET that waits.
-"""
+"""Records of the product's own, kept as objects in the platform's store."""
 
 import collections
+from urllib import parse
 
 import msgspec
-import urllib3
 
 from zinniadyke import errors
 from zinniadyke.platform import _purpose
 from zinniadyke.platform import _records
+from zinniadyke.platform import _store
 from zinniadyke import telemetry
 
-CALL_TIMEOUT_S = 2.0
-WATCH_SLACK_S = 2.0
-MAX_CONNECTIONS = 16
+# Limit of one object, in bytes; the platform's usual one.
 MAX_VALUE_BYTES = 1 << 20
+# Sets the product's kinds of objects apart from those of the platform.
+KIND_PREFIX = "zinniadyke-"
+# Kind of the hosts of the product's own deployments.
+HOSTS_KIND = KIND_PREFIX + "hosts"
 
 
 class PlatformClient:
-    """Calls the platform and counts the calls by purpose.
+    """Reads and writes records by key, and counts the calls by purpose.
 
     Parameters
     ----------
     url
-        Base URL, with an IP number as host.
+        Base URL of the store, with an IP number as host.
     timeout_s
         Time limit of one call, in seconds.
     """
 
-    def __init__(self, *, url: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
-        """Create the connection pool; connects on first use."""
-        self.url = url.rstrip("/")
-        self.timeout_s = timeout_s
+    def __init__(
+        self, *, url: str, timeout_s: float = _store.CALL_TIMEOUT_S
+    ) -> None:
+        """Create the store's client; connects on first use."""
         self.calls: collections.Counter = collections.Counter()
-        self.pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+        self.store = _store.StoreClient(
+            address=parse.urlsplit(url).netloc, timeout_s=timeout_s
+        )
+        # For each watched key the revision that its caller knows, and the
+        # one up to which nothing newer has been found.
+        self.watched: dict[str, tuple[int, int]] = {}
 
     def get(
         self, key: str, *, purpose: _purpose.Purpose
     ) -> _records.StoredObject | None:
-        """Return the object at ``key``, or None.
+        """Return the record at ``key``, or None.
 
         Raises
         ------
         PlatformError
             The platform did not answer.
         """
-        answer = self._call("GET", f"/v1/objects/{key}", purpose=purpose)
-        if answer.status == 404:
-            return None
-        return _stored(key, answer)
+        self._count(purpose)
+        kind, name = _place(key)
+        found = self.store.get_object(kind, name)
+        return _stored(key, found) if found else None
 
     def put(
         self,
@@ -62,12 +65,14 @@
         purpose: _purpose.Purpose,
         revision: int | None,
     ) -> int:
-        """Write ``value`` if the object is still at ``revision``.
+        """Write ``value`` if the record is still at ``revision``.
 
         Parameters
         ----------
+        value
+            UTF-8 text.
         revision
-            Expected revision; None when the object must not exist.
+            Expected revision; None when the record must not exist.
 
         Returns
         -------
@@ -77,7 +82,7 @@
         Raises
         ------
         ConflictError
-            The object is at another revision.
+            The record is at another revision.
         PlatformError
             The write may or may not have taken effect.
         """
@@ -86,17 +91,17 @@
                 f"{key}: {len(value)} bytes is over the platform's limit"
                 f" of {MAX_VALUE_BYTES}"
             )
-        headers = _condition(revision)
-        answer = self._call(
-            "PUT",
-            f"/v1/objects/{key}",
-            purpose=purpose,
-            body=value,
-            headers=headers,
+        self._count(purpose)
+        kind, name = _place(key)
+        wanted = _store.StoreObject(
+            metadata=_store.ObjectMetadata(name=name, revision=revision or 0),
+            spec=msgspec.Raw(msgspec.json.encode(value.decode())),
         )
-        if answer.status == 412:
-            raise errors.ConflictError(f"{key} was changed by another writer")
-        return _revision(answer)
+        if revision is None:
+            written = self.store.create_object(kind, wanted)
+        else:
+            written = self.store.replace_object(kind, wanted)
+        return written.metadata.revision
 
     def watch(
         self,
@@ -113,69 +118,73 @@
         PlatformError
             The platform did not answer.
         """
-        answer = self._call(
-            "GET",
-            f"/v1/watch/{key}?after={after}&wait={wait_s}",
-            purpose=purpose,
-            timeout_s=wait_s + WATCH_SLACK_S,
-        )
-        if answer.status in (204, 404):
-            return None
-        return _stored(key, answer)
+        self._count(purpose)
+        kind, name = _place(key)
+        known, since = self.watched.get(key, (after, after))
+        if known != after:
+            since = after
+        try:
+            found = self.store.watch(kind, max(since, 0), wait_s)
+        except _store.HistoryGoneError:
+            listed = self.store.list_objects(kind)
+            newest = [o for o in listed.objects if o.metadata.name == name]
+            since = listed.revision
+        else:
+            newest = [
+                c.object
+                for c in found.changes
+                if c.object.metadata.name == name and not c.removed
+            ]
+            if found.changes:
+                since = found.revision
+        if newest and newest[-1].metadata.revision > after:
+            return _stored(key, newest[-1])
+        self.watched[key] = (after, since)
+        return None
 
     def hosts(
         self, *, purpose: _purpose.Purpose = _purpose.Purpose.MEMBERSHIP
     ) -> list[_records.Host]:
-        """Return the lagging list of live and leaving hosts."""
-        answer = self._call("GET", "/v1/hosts", purpose=purpose)
-        try:
-            return msgspec.json.decode(answer.data, type=list[_records.Host])
-        except msgspec.MsgspecError as error:
-            raise errors.PlatformError(f"host list: {error}")
+        """Return the list of live and leaving hosts."""
+        self._count(purpose)
+        listed = self.store.list_objects(HOSTS_KIND)
+        return [
+            _store.decode(o.spec, _records.Host, "host")
+            for o in listed.objects
+        ]
 
-    def _call(
-        self,
-        method: str,
-        path: str,
-        *,
-        purpose: _purpose.Purpose,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        timeout_s: float | None = None,
-    ) -> urllib3.BaseHTTPResponse:
-        self.calls[purpose] += 1
-        telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=purpose.value)
-        try:
-            answer = self.pool.request(
-                method,
-                self.url + path,
-                body=body,
-                headers=headers,
-                timeout=timeout_s or self.timeout_s,
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise errors.PlatformError(f"{method} {path}: {error}")
-        if answer.status >= 500 or answer.status == 429:
-            raise errors.PlatformError(f"{method} {path}: {answer.status}")
-        return answer
+    def add_host(self, host: _records.Host) -> None:
+        """Add a host to the list.
 
+        Raises
+        ------
+        ConflictError
+            It is there already.
+        PlatformError
+            The platform did not answer.
+        """
+        self._count(_purpose.Purpose.MEMBERSHIP)
+        self.store.create_object(
+            HOSTS_KIND,
+            _store.StoreObject(
+                metadata=_store.ObjectMetadata(name=host.name),
+                spec=msgspec.Raw(msgspec.json.encode(host)),
+            ),
+        )
 
-def _condition(revision: int | None) -> dict[str, str]:
-    if revision is None:
-        return {"If-None-Match": "*"}
-    return {"If-Match": f'"{revision}"'}
+    def _count(self, purpose: _purpose.Purpose) -> None:
+        self.calls[purpose] += 1
+        telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=purpose.value)
 
 
-def _revision(answer: urllib3.BaseHTTPResponse) -> int:
-    tag = answer.headers.get("ETag", "").strip('"')
-    if not tag.isdigit():
-        raise errors.PlatformError(f"no revision in an answer: {tag!r}")
-    return int(tag)
+def _place(key: str) -> tuple[str, str]:
+    """Return the kind and the name of a key's object."""
+    folder, _, name = key.rpartition("/")
+    return KIND_PREFIX + folder.replace("/", "-"), name
 
 
-def _stored(
-    key: str, answer: urllib3.BaseHTTPResponse
-) -> _records.StoredObject:
+def _stored(key: str, found: _store.StoreObject) -> _records.StoredObject:
+    text = _store.decode(found.spec, str, key)
     return _records.StoredObject(
-        key=key, value=answer.data, revision=_revision(answer)
+        key=key, value=text.encode(), revision=found.metadata.revision
     )
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -2,6 +2,7 @@
 
 import http
 import logging
+from urllib import parse
 
 import msgspec
 import urllib3
@@ -21,6 +22,11 @@
 # What a watch may take beyond the time that it was told to wait.
 WATCH_SLACK_S = 0.6
 MS_PER_S = 1000
+JSON_BODY = {"Content-Type": "application/json"}
+SUCCESS = frozenset((http.HTTPStatus.OK, http.HTTPStatus.CREATED))
+NOT_FOUND = frozenset((http.HTTPStatus.NOT_FOUND,))
+# An object that is gone cannot be replaced either.
+CONFLICTS = frozenset((http.HTTPStatus.CONFLICT, http.HTTPStatus.NOT_FOUND))
 
 
 class ObjectMetadata(msgspec.Struct, kw_only=True):
@@ -95,15 +101,58 @@
     ----------
     address
         ``ip:port`` of the store.
+    timeout_s
+        Time limit of one call, in seconds; a watch may wait longer.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
         """Create the connection pool; connects on first use."""
+        self.timeout_s = timeout_s
         host, _, port = address.rpartition(":")
         self.pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=MAX_CONNECTIONS, retries=False
         )
 
+    def get_object(self, kind: str, name: str) -> StoreObject | None:
+        """Return one object, or None.
+
+        Raises
+        ------
+        PlatformError
+            The store did not answer.
+        """
+        answer = self._call("GET", _path(kind, name), also=NOT_FOUND)
+        if answer.status == http.HTTPStatus.NOT_FOUND:
+            return None
+        return decode(answer.data, StoreObject, "object")
+
+    def create_object(self, kind: str, wanted: StoreObject) -> StoreObject:
+        """Create an object and return it as it is stored.
+
+        Raises
+        ------
+        ConflictError
+            An object of that name exists.
+        PlatformError
+            The object may or may not have been created.
+        """
+        return self._write("POST", _path(kind), wanted)
+
+    def replace_object(self, kind: str, wanted: StoreObject) -> StoreObject:
+        """Replace an object that is still at the revision given.
+
+        Raises
+        ------
+        ConflictError
+            The object is at another revision, or is gone.
+        PlatformError
+            The object may or may not have been replaced.
+        """
+        name = wanted.metadata.name
+        return self._write("PUT", _path(kind, name), wanted)
+
     def list_objects(self, kind: str) -> ObjectList:
         """Return all objects of a kind; unreadable ones are left out.
 
@@ -116,9 +165,8 @@
         first_revision = None
         query = ""
         while True:
-            answer = _decode(
-                self._call("GET", f"/v1/objects/{kind}{query}"), _ListAnswer
-            )
+            data = self._call("GET", _path(kind) + query).data
+            answer = decode(data, _ListAnswer, "list")
             # Changes between two pages are in the watch that starts at the
             # revision of the first one.
             if first_revision is None:
@@ -127,7 +175,8 @@
             found.extend(o for o in page if o is not None)
             if not answer.has_more or not found:
                 return ObjectList(objects=found, revision=first_revision)
-            query = f"?after={found[-1].metadata.name}"
+            last = found[-1].metadata.name
+            query = f"?after={parse.quote(last, safe='')}"
 
     def watch(self, kind: str, revision: int, wait_s: float) -> ChangeList:
         """Wait for changes of a kind after ``revision``.
@@ -142,10 +191,10 @@
         wait_ms = int(wait_s * MS_PER_S)
         data = self._call(
             "GET",
-            f"/v1/objects/{kind}?watch={revision}&wait_ms={wait_ms}",
+            f"{_path(kind)}?watch={revision}&wait_ms={wait_ms}",
             timeout_s=wait_s + WATCH_SLACK_S,
-        )
-        answer = _decode(data, _WatchAnswer)
+        ).data
+        answer = decode(data, _WatchAnswer, "changes")
         events = [_decode_item(raw, _Event) for raw in answer.events]
         return ChangeList(
             changes=[
@@ -156,16 +205,40 @@
             revision=answer.current_rev,
         )
 
+    def _write(
+        self, method: str, path: str, wanted: StoreObject
+    ) -> StoreObject:
+        answer = self._call(
+            method,
+            path,
+            body=msgspec.json.encode(wanted),
+            also=CONFLICTS,
+        )
+        if answer.status in CONFLICTS:
+            raise errors.ConflictError(
+                f"{wanted.metadata.name} was changed by another writer"
+            )
+        return decode(answer.data, StoreObject, "object")
+
     def _call(
-        self, method: str, path: str, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> bytes:
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        also: frozenset[int] = frozenset(),
+        timeout_s: float | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a call; statuses other than success and ``also`` raise."""
         telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=method)
         try:
             answer = self.pool.request(
                 method,
                 path,
+                body=body,
+                headers=JSON_BODY if body is not None else None,
                 timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=timeout_s
+                    connect=CONNECT_TIMEOUT_S, read=timeout_s or self.timeout_s
                 ),
             )
         except urllib3.exceptions.HTTPError as error:
@@ -173,24 +246,35 @@
             raise errors.PlatformError(f"{method} {path}: {error}")
         if answer.status == http.HTTPStatus.GONE:
             raise HistoryGoneError(f"{method} {path}: history is gone")
-        if answer.status != http.HTTPStatus.OK:
+        if answer.status not in SUCCESS and answer.status not in also:
             telemetry.count(
                 telemetry.Metric.PLATFORM_FAILURES, label=str(answer.status)
             )
             raise errors.PlatformError(f"{method} {path}: {answer.status}")
-        return answer.data
+        return answer
+
 
+def _path(kind: str, name: str | None = None) -> str:
+    path = f"/v1/objects/{kind}"
+    return path if name is None else f"{path}/{parse.quote(name, safe='')}"
 
-def _decode(data: bytes, wanted):
-    """Decode an answer; bytes that are no text are replaced first."""
+
+def decode(data: bytes | msgspec.Raw, wanted, what: str):
+    """Decode an answer; bytes that are no text are replaced first.
+
+    Raises
+    ------
+    PlatformError
+        It is not ``what`` it should be.
+    """
     try:
         return msgspec.json.decode(data, type=wanted)
     except msgspec.MsgspecError:
-        readable = data.decode("utf-8", "replace").encode()
+        readable = bytes(data).decode("utf-8", "replace").encode()
     try:
         return msgspec.json.decode(readable, type=wanted)
     except msgspec.MsgspecError as error:
-        raise errors.PlatformError(f"answer of the store: {error}")
+        raise errors.PlatformError(f"{what} of the store: {error}")
 
 
 def _decode_item(raw: msgspec.Raw, wanted):
