A restarted agent asks who read its chunks meanwhile before the origin

A chunk's first host has nobody to ask but the seeds; after a restart it read its quarter again, though its first child or the host that stood in for it has it. Both are asked now, without waiting: two short messages a chunk in all. Test: the stand-in for each chunk is among those asked (failed before).

--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -75,3 +75,37 @@
     forward = weights.Placement.of(every, "m/1")
     backward = weights.Placement.of(every[::-1], "m/1")
     assert forward == backward
+
+
+@pytest.mark.parametrize(("zones", "per_zone"), [(1, 4), (2, 2), (3, 4)])
+def test_who_reads_for_a_host_that_is_away_is_asked_on_its_return(
+    zones, per_zone
+):
+    every = hosts(zones, per_zone)
+    placement = weights.Placement.of(every, "m/1")
+    for index in range(24):
+        first = placement.order(index)[0][0]
+        away = [h for h in every if h is not first]
+        (reader,) = [
+            h
+            for h in away
+            if not weights.candidates(
+                weights.Placement.of(away, "m/1"), index, h.name
+            )
+        ]
+        holders = weights.former_life(placement, index, first.name)
+        assert reader in holders
+        assert len(holders) <= 2
+
+
+def test_only_the_first_host_of_a_chunk_looks_for_a_former_life():
+    every = hosts(2, 3)
+    placement = weights.Placement.of(every, "m/1")
+    for index in range(12):
+        first = placement.order(index)[0][0]
+        for host in every:
+            found = weights.former_life(placement, index, host.name)
+            assert bool(found) == (host is first)
+    (alone,) = hosts(1, 1)
+    placement = weights.Placement.of([alone], "m/1")
+    assert weights.former_life(placement, 0, alone.name) == []
--- a/zinniadyke/weights/__init__.py
+++ b/zinniadyke/weights/__init__.py
@@ -9,6 +9,7 @@
 from zinniadyke.weights._manifest import MANIFEST_SUFFIX
 from zinniadyke.weights._plan import ARITY
 from zinniadyke.weights._plan import candidates
+from zinniadyke.weights._plan import former_life
 from zinniadyke.weights._plan import Placement
 from zinniadyke.weights._plan import seeds
 from zinniadyke.weights._stage import Stage
@@ -25,5 +26,6 @@
     "TokenBucket",
     "build_manifest",
     "candidates",
+    "former_life",
     "seeds",
 ]
--- a/zinniadyke/weights/_fetch.py
+++ b/zinniadyke/weights/_fetch.py
@@ -157,7 +157,11 @@
         for host in hosts:
             if self._from_peer(host, index, wait=True):
                 return
-        for host in _plan.seeds(placement):
+        holders = [
+            *_plan.seeds(placement),
+            *_plan.former_life(placement, index, self.me.name),
+        ]
+        for host in dict.fromkeys(holders):
             if self._from_peer(host, index, wait=False):
                 return
         self._from_origin(index)
--- a/zinniadyke/weights/_plan.py
+++ b/zinniadyke/weights/_plan.py
@@ -99,6 +99,23 @@
     return [zone[0] for zone in placement.zones]
 
 
+def former_life(
+    placement: Placement, index: int, me: ids.HostName
+) -> list[platform.Host]:
+    """Return who has a chunk that was read before ``me`` restarted.
+
+    The first host of a chunk may have read it in a former life, and its
+    first child has it then. While it was away another host was the first.
+    """
+    zones = placement.order(index)
+    if not zones or zones[0][0].name != me:
+        return []
+    without = [[h for h in zone if h.name != me] for zone in placement.zones]
+    others = Placement(zones=[zone for zone in without if zone])
+    stand_in = [zone[0] for zone in others.order(index)[:1]]
+    return list(dict.fromkeys([*stand_in, *zones[0][1:2]]))
+
+
 def _before(
     zones: list[list[platform.Host]], number: int, position: int
 ) -> list[platform.Host]:
