Many targets switch over the time that the bound leaves

Cause: with 24 and more targets six were out at once, as turns took at most 1.8 s, though the bound of larger deployments (10.3 s) leaves 3.4 s after the pieces are there. The window now begins when the pieces can be whole. The sites of the milestone (8 s) keep their 1.8 s. Test first failed.

--- a/tests/sidecar/test_schedule.py
+++ b/tests/sidecar/test_schedule.py
@@ -1,3 +1,5 @@
+import pytest
+
 from zinniadyke.sidecar import _schedule
 
 BOUND_S = 8.0
@@ -42,13 +44,25 @@
     assert chosen == {3}
 
 
+def switch_at(place, count, bound_s=BOUND_S):
+    return _schedule.switch_at(
+        100.0, bound_s=bound_s, bring_s=BRING_S, place=place, count=count
+    )
+
+
 def test_targets_switch_one_after_another_before_the_bound():
-    turns = [
-        _schedule.switch_at(100.0, bound_s=BOUND_S, place=n, count=5)
-        for n in range(5)
-    ]
+    turns = [switch_at(n, 5) for n in range(5)]
     assert turns == sorted(turns)
     assert len(set(turns)) == 5
     assert turns[-1] == 100.0 + BOUND_S - _schedule.SWITCH_MARGIN_S
-    alone = _schedule.switch_at(100.0, bound_s=BOUND_S, place=0, count=1)
-    assert alone == turns[-1]
+    assert switch_at(0, 1) == turns[-1]
+
+
+def test_many_targets_take_the_time_that_the_bound_leaves():
+    """Fewer are out at once; none before its pieces can be there."""
+    bound_s = BOUND_S + 4.0
+    turns = [switch_at(n, 30, bound_s) for n in range(30)]
+    assert turns[-1] == 100.0 + bound_s - _schedule.SWITCH_MARGIN_S
+    assert turns[0] == pytest.approx(100.0 + BRING_S)
+    few = [switch_at(n, 3, bound_s) for n in range(3)]
+    assert few[-1] - few[0] == pytest.approx(2 * _schedule.SWITCH_GAP_S)
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -233,9 +233,13 @@
             now=time.monotonic(),
             bound_s=self.settings.bounds.version_ms / MS_PER_S
             - _schedule.ENTRY_MARGIN_S,
-            bring_s=self._fetch_s(self._engine().chunks) + _schedule.LOAD_S,
+            bring_s=self._bring_s(),
         )
 
+    def _bring_s(self) -> float:
+        """Return the time from naming a version until it can be loaded."""
+        return self._fetch_s(self._engine().chunks) + _schedule.LOAD_S
+
     def _fetch_s(self, pieces: int) -> float:
         """Return the time that fetching some pieces takes, in seconds."""
         link_s = pieces * self._engine().chunk_bytes / self.bucket.bytes_per_s
@@ -268,6 +272,7 @@
         return _schedule.switch_at(
             named_at,
             bound_s=self.settings.bounds.version_ms / MS_PER_S,
+            bring_s=self._bring_s(),
             place=ips.index(my_ip),
             count=len(ips),
         )
--- a/zinniadyke/sidecar/_schedule.py
+++ b/zinniadyke/sidecar/_schedule.py
@@ -11,8 +11,8 @@
 
 # Kept back from the bound: reading back, the order and the load itself.
 SWITCH_MARGIN_S = 0.8
-# Targets switch one after the other over at most this time; each is out for
-# the load of some 0.3 s.
+# Targets switch one after the other over this time at least, and longer if
+# the pieces are there sooner; each is out for the load of some 0.3 s.
 SWITCH_WINDOW_S = 1.8
 SWITCH_GAP_S = 0.35
 # Transfers in a swarm take this much longer than the downlink alone allows,
@@ -72,17 +72,20 @@
 
 
 def switch_at(
-    named_at: float, *, bound_s: float, place: int, count: int
+    named_at: float, *, bound_s: float, bring_s: float, place: int, count: int
 ) -> float:
     """Return when a target shall switch to a version, monotonic seconds.
 
     Parameters
     ----------
+    bring_s
+        Time from naming a version until it can be loaded, in seconds.
     place
         The target's place among the ``count`` targets of its service.
     """
     latest = named_at + bound_s - SWITCH_MARGIN_S
     if count < 2:
         return latest
-    window_s = min(SWITCH_WINDOW_S, SWITCH_GAP_S * (count - 1))
+    free_s = bound_s - SWITCH_MARGIN_S - bring_s
+    window_s = min(max(SWITCH_WINDOW_S, free_s), SWITCH_GAP_S * (count - 1))
     return latest - window_s * (count - 1 - place) / (count - 1)
