Digests from one reader; no idle connections to the origin

The origin takes 48 connections; agents that were done kept up to 4 each, and others were cut off at every try. All agents read the digests there too, together more bytes than the weights. Now one connection an agent, closed when it is done; the first host in a hashed order reads the digests, others ask the hosts before them, and go to the origin in turn if nobody has them. Digests are checked for their form; if the origin's own pieces speak against one three times, they are read again and right pieces kept. Ruled out: the swarm (no transfer was open), the store.

--- /dev/null
+++ b/tests/sidecar/test_manifest.py
@@ -0,0 +1,62 @@
+import pytest
+
+from tests import clock
+from zinniadyke.sidecar import _manifest
+
+DIGESTS = ("a", "b")
+HOSTS = [f"10.0.0.{n}" for n in range(8)]
+
+
+@pytest.fixture
+def moving(monkeypatch):
+    found = clock.Clock()
+
+    def sleep(seconds):
+        found.now += seconds
+
+    monkeypatch.setattr(_manifest.time, "monotonic", found.monotonic)
+    monkeypatch.setattr(_manifest.eventlet, "sleep", sleep)
+    return found
+
+
+def read(before, has=()):
+    asked = []
+
+    def ask(host):
+        asked.append(host)
+        return DIGESTS if host in has else None
+
+    found = _manifest.read_digests(before, ask, lambda: "origin")
+    return found, asked
+
+
+def test_all_hosts_agree_on_one_that_reads_the_origin():
+    orders = {
+        tuple(_manifest.order("m", 2, hosts)) for hosts in (HOSTS, HOSTS[::-1])
+    }
+    assert len(orders) == 1
+    firsts = {_manifest.order("m", v, HOSTS)[0] for v in range(40)}
+    assert len(firsts) > 3
+
+
+def test_first_host_asks_nobody_else(moving):
+    assert read([]) == ("origin", [])
+
+
+def test_later_hosts_get_them_from_those_before(moving):
+    found, asked = read(HOSTS[:5], has=HOSTS[1:2])
+    assert found == DIGESTS
+    assert asked == HOSTS[:2]
+
+
+def test_hosts_read_the_origin_in_turn_when_nobody_has_them(moving):
+    took = []
+    for place in range(8):
+        begun = moving.now
+        found, asked = read(HOSTS[:place])
+        assert found == "origin"
+        assert len(set(asked)) <= _manifest.SOURCES
+        took.append(moving.now - begun)
+    assert took[1] == pytest.approx(_manifest.TURN_S, abs=0.06)
+    assert took == sorted(took)
+    assert took[-1] <= _manifest.MAX_WAIT_S + 0.06
--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -236,3 +236,20 @@
         assert made.all_hold(2)
         assert made.origin.reads == before
         made.check_loads()
+
+
+def test_digests_are_read_from_the_origin_once():
+    with fleet(1, 1, 1) as made:
+        made.name(2)
+        assert made.all_hold(2)
+        assert made.origin.manifests == 1
+
+
+def test_digests_that_are_wrong_are_read_again():
+    """All agents share them, and none may wait for a piece for ever."""
+    with fleet(1, 1) as made:
+        made.origin.spoil_manifests.add(2)
+        made.name(2)
+        assert made.all_hold(2, timeout_s=12.0)
+        assert made.origin.manifests > 1
+        made.check_loads()
--- a/zinniadyke/fakes/_model_server.py
+++ b/zinniadyke/fakes/_model_server.py
@@ -121,14 +121,20 @@
     ----------
     reads
         Pieces that were read.
+    manifests
+        Lists of digests that were read.
     spoil
         Pieces that are sent spoilt once, as pairs of version and index.
+    spoil_manifests
+        Versions whose digests are sent with a wrong one, once.
     """
 
     def __init__(self, *, pieces: int, address: str = "127.0.0.1:0") -> None:
         """Listen."""
         self.pieces = pieces
         self.reads = 0
+        self.manifests = 0
+        self.spoil_manifests: set[int] = set()
         self.spoil: set[tuple[int, int]] = set()
         self.server = _http.HttpServer(application=self, address=address)
         self.address = self.server.address
@@ -146,6 +152,10 @@
                 hashlib.sha256(piece_of(version, n)).hexdigest()
                 for n in range(self.pieces)
             ]
+            self.manifests += 1
+            if version in self.spoil_manifests:
+                self.spoil_manifests.discard(version)
+                digests[0] = digests[1]
             return _http.answer_json(
                 start_response,
                 {"model": "m", "version": version, "digests": digests},
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -1,6 +1,7 @@
 """Calls to the model server beside an agent, and to the origin."""
 
 import http
+import re
 
 import msgspec
 import urllib3
@@ -17,6 +18,8 @@
 # Opening packets wait in a link that is full.
 CONNECT_TIMEOUT_S = 1.5
 LOCAL_CONNECTIONS = 2
+# SHA-256, in hexadecimal.
+DIGEST = re.compile("[0-9a-f]{64}", re.IGNORECASE)
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -227,6 +230,7 @@
     def __init__(self, *, address: str, connections: int) -> None:
         """Create the connection pool; connects on first use."""
         self.address = address
+        self.connections = connections
         self.pool = _pool(address, connections)
 
     def manifest(self, model: str, version: int) -> ManifestAnswer:
@@ -249,11 +253,21 @@
                 f"manifest of version {found.version}",
                 code=errors.ResultCode.ORIGIN_CHANGED,
             )
+        if not all(DIGEST.fullmatch(d) for d in found.digests):
+            raise errors.WeightsError(
+                "manifest with digests that are none",
+                code=errors.ResultCode.CHUNK_CORRUPT,
+            )
         return ManifestAnswer(
             version=ids.WeightsVersion(found.version),
             digests=tuple(found.digests),
         )
 
+    def close_idle(self) -> None:
+        """Close the connections that are kept: the origin takes few."""
+        self.pool.close()
+        self.pool = _pool(self.address, self.connections)
+
     def piece(self, model: str, version: int, index: int) -> bytes:
         """Return the bytes of a piece, unchecked.
 
--- a/zinniadyke/sidecar/_bring.py
+++ b/zinniadyke/sidecar/_bring.py
@@ -25,6 +25,8 @@
 ORIGIN_CALLS = 1
 # Longest sleep while nothing can be asked for.
 CHECK_S = 0.1
+# Pieces that the origin sends spoilt so often speak against their digests.
+MAX_SPOILT = 3
 # Rounds of reading back and mending what lies at the target.
 MAX_CHECKS = 5
 
@@ -70,6 +72,7 @@
         self.have: dict[str, set[int]] = {}
         self.asked: collections.Counter[str] = collections.Counter()
         self.in_flight: set[int] = set()
+        self.spoilt: collections.Counter[int] = collections.Counter()
         self.from_origin = 0
         self.from_peers = 0
 
@@ -80,6 +83,8 @@
         ------
         SupersededError
             Another version is wanted.
+        WeightsError
+            The digests do not fit what the origin sends.
         """
         watcher = eventlet.spawn(
             self.news.watch,
@@ -153,6 +158,11 @@
                     },
                 )
                 raise SupersededError(code=errors.ResultCode.ORIGIN_CHANGED)
+            if self.spoilt and max(self.spoilt.values()) >= MAX_SPOILT:
+                raise errors.WeightsError(
+                    "digests that no piece of the origin has",
+                    code=errors.ResultCode.CHUNK_CORRUPT,
+                )
             choice = None
             if len(self.in_flight) < TRANSFERS_AT_ONCE:
                 choice = _pick.pick(
@@ -180,6 +190,8 @@
             if piece is not None and not self.store.add(choice.index, piece):
                 self.have.get(choice.host_ip, set()).discard(choice.index)
                 telemetry.count(telemetry.Metric.CHUNKS_CORRUPT)
+                if choice.kind is _pick.SourceKind.ORIGIN:
+                    self.spoilt[choice.index] += 1
                 LOG.warning(
                     "piece spoilt on the way",
                     extra={
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -15,6 +15,7 @@
 from zinniadyke import settings
 from zinniadyke.sidecar import _bring
 from zinniadyke.sidecar import _load_reporter
+from zinniadyke.sidecar import _manifest
 from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pick
@@ -41,7 +42,9 @@
 PIECES_LIFE_S = 10.0
 # Version that targets hold while none was ever named.
 FIRST_VERSION = ids.WeightsVersion(1)
-ORIGIN_CONNECTIONS = 4
+# Connections to the origin that one agent keeps while it fetches: all agents
+# share the few that it takes.
+ORIGIN_CONNECTIONS = 1
 MS_PER_S = 1000.0
 
 
@@ -75,6 +78,10 @@
         self.versions = platform.follow_versions(store, view)
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
+        # Versions whose digests did not fit, with what came of them.
+        self.doubted: dict[
+            tuple[ids.ModelName, ids.WeightsVersion], _pieces.PieceStore
+        ] = {}
         self.client = _peer_client.PeerClient(port=loaded.host.ports[0])
         reporter.switch_in_s = self._switch_in_s
         self.news = _piece_news.PieceNews(
@@ -176,15 +183,28 @@
         begun = time.monotonic()
         store = self.peer_server.find_store(model, version)
         if store is None:
-            manifest = self._origin().manifest(model, version)
             store = _pieces.PieceStore(
-                model=model, version=version, digests=manifest.digests
+                model=model,
+                version=version,
+                digests=self._digests(model, version),
             )
             self.peer_server.add_store(store)
+            if (model, version) in self.doubted:
+                store.adopt(self.doubted[model, version])
         bringer = self._bringer(model, store)
         if not self._held(model):
             bringer.adopt_staged()
-        bringer.fetch()
+        try:
+            bringer.fetch()
+        except _bring.SupersededError:
+            raise
+        except errors.WeightsError:
+            # The next try takes the digests from the origin.
+            self.doubted[model, version] = store
+            self.peer_server.drop_store(store)
+            raise
+        finally:
+            self._origin().close_idle()
         LOG.info(
             "weights fetched",
             extra={
@@ -196,6 +216,28 @@
             },
         )
 
+    def _digests(
+        self, model: ids.ModelName, version: ids.WeightsVersion
+    ) -> tuple[str, ...]:
+        my_ip = self.settings.host.ip
+        hosts = _manifest.order(
+            model,
+            version,
+            sorted({t.host_ip for t in self._neighbours()} | {my_ip}),
+        )
+        before = hosts[: hosts.index(my_ip)]
+        if (model, version) in self.doubted:
+            before = []
+        origin = self._origin()
+        try:
+            return _manifest.read_digests(
+                before,
+                lambda host: self.client.digests(host, model, version),
+                lambda: origin.manifest(model, version).digests,
+            )
+        finally:
+            origin.close_idle()
+
     def _load(self, model: ids.ModelName, version: ids.WeightsVersion) -> bool:
         """Order the load and wait until it is in effect."""
         layers = self._layers()
@@ -324,12 +366,9 @@
     def _swarm(
         self, model: ids.ModelName, version: ids.WeightsVersion
     ) -> _pick.Swarm:
-        if time.monotonic() - self.targets_read_at > PEERS_LIFE_S:
-            self.targets.relist()
-            self.targets_read_at = time.monotonic()
         my_ip = self.settings.host.ip
         peers = _pick.peers_of(
-            self.view.of_service(self._service()),
+            self._neighbours(),
             self.regions,
             model=model,
             version=version,
@@ -340,6 +379,13 @@
         )
         return _pick.Swarm(me=me, peers=peers, count=self._piece_count())
 
+    def _neighbours(self) -> list[directory.Target]:
+        """Return the service's targets, read from the store of late."""
+        if time.monotonic() - self.targets_read_at > PEERS_LIFE_S:
+            self.targets.relist()
+            self.targets_read_at = time.monotonic()
+        return self.view.of_service(self._service())
+
     def _holds(self, model: str, version: int) -> bool:
         return self._held(ids.ModelName(model)) == version
 
--- /dev/null
+++ b/zinniadyke/sidecar/_manifest.py
@@ -0,0 +1,59 @@
+"""Reads the digests of a version: one host from the origin, others from it.
+
+Load it answers: hundreds of agents that begin at once. The origin takes few
+connections, and all digests together are more bytes than the weights.
+"""
+
+from collections.abc import Callable
+import time
+
+import eventlet
+
+from zinniadyke import ids
+from zinniadyke import rendezvous
+
+Digests = tuple[str, ...]
+
+# Each host in the order waits this much longer than the one before it until
+# it reads the origin itself, up to the second figure.
+TURN_S = 0.4
+MAX_WAIT_S = 2.5
+# Hosts before this one that are asked, and the pause between rounds.
+SOURCES = 3
+POLL_S = 0.05
+
+
+def order(
+    model: ids.ModelName, version: ids.WeightsVersion, hosts: list[str]
+) -> list[str]:
+    """Return the order in which hosts read a version's digests."""
+    return sorted(
+        hosts, key=lambda h: rendezvous.weight(model, str(version), h)
+    )
+
+
+def read_digests(
+    before: list[str],
+    ask_peer: Callable[[str], Digests | None],
+    read_origin: Callable[[], Digests],
+) -> Digests:
+    """Return a version's digests.
+
+    Parameters
+    ----------
+    before
+        Hosts that come before this one in the order.
+
+    Raises
+    ------
+    WeightsError
+        Nobody has them, and the origin does not answer.
+    """
+    until = time.monotonic() + min(len(before) * TURN_S, MAX_WAIT_S)
+    while time.monotonic() < until:
+        for host_ip in before[:SOURCES]:
+            found = ask_peer(host_ip)
+            if found:
+                return found
+        eventlet.sleep(POLL_S)
+    return read_origin()
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -4,6 +4,7 @@
 import http
 import logging
 
+import msgspec
 import urllib3
 
 from zinniadyke.sidecar import _peer_server
@@ -35,6 +36,25 @@
         self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
         self.silent: set[str] = set()
 
+    def digests(
+        self, host_ip: str, model: str, version: int
+    ) -> tuple[str, ...] | None:
+        """Return the digests of a version's pieces; None if not to be had."""
+        data = self._get(
+            host_ip,
+            f"{_peer_server.MANIFEST_PATH}?model={model}&version={version}",
+        )
+        if data is None:
+            return None
+        try:
+            return msgspec.json.decode(data, type=tuple[str, ...])
+        except msgspec.MsgspecError as error:
+            LOG.warning(
+                "digests not read",
+                extra={"host": host_ip, "reason": str(error)},
+            )
+            return None
+
     def piece(
         self,
         host_ip: str,
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -14,6 +14,7 @@
 
 from eventlet import semaphore
 from eventlet import wsgi
+import msgspec
 
 from zinniadyke import errors
 from zinniadyke import listening
@@ -27,6 +28,7 @@
 QUIET.addHandler(logging.NullHandler())
 
 PIECE_PATH = "/piece"
+MANIFEST_PATH = "/manifest"
 # The form of ranges that agents ask for.
 RANGE = re.compile(r"bytes=(\d+)-(\d+)", re.ASCII)
 # Pieces that are sent at once.
@@ -85,6 +87,10 @@
             store.adopt(self.stores[-1])
         self.stores = [*self.stores, store][-MAX_STORES:]
 
+    def drop_store(self, store: _pieces.PieceStore) -> None:
+        """Forget a version."""
+        self.stores = [s for s in self.stores if s is not store]
+
     def run(self) -> None:
         """Serve for ever."""
         wsgi.server(
@@ -98,6 +104,8 @@
             model = query["model"][0]
             version = int(query["version"][0])
             self.asked_at = time.monotonic()
+            if environ["PATH_INFO"] == MANIFEST_PATH:
+                return self._send_digests(model, version, start_response)
             index = int(query["index"][0])
         except (KeyError, ValueError) as error:
             return _answer(
@@ -116,6 +124,16 @@
             piece[first : last + 1],
         )
 
+    def _send_digests(self, model: str, version: int, start_response):
+        store = self.find_store(model, version)
+        if store is None:
+            return _answer(start_response, http.HTTPStatus.NOT_FOUND)
+        return _answer(
+            start_response,
+            http.HTTPStatus.OK,
+            msgspec.json.encode(store.digests),
+        )
+
     def _send(self, start_response, status: http.HTTPStatus, data: bytes):
         with self.uploads:
             write = start_response(
