--- a/zinniadyke/bench/_virtual_time.py
+++ b/zinniadyke/bench/_virtual_time.py
@@ -7,6 +7,8 @@
 
 # Any start will do; 0 would look like 'never' to code that compares.
 START_S = 1000.0
+# Sets timers of one moment apart: a hub orders them by address otherwise.
+ORDER_S = 1e-11
 
 
 class VirtualHub(hub.BaseHub):
@@ -15,8 +17,15 @@
     def __init__(self, clock=None) -> None:
         """Start the clock."""
         self.now = START_S
+        self.timers_added = 0
         super().__init__(clock=lambda: self.now)
 
+    def add_timer(self, timer):
+        """Schedule a timer; those of one moment fire in their order."""
+        self.timers_added += 1
+        timer.seconds += self.timers_added * ORDER_S
+        return super().add_timer(timer)
+
     def wait(self, seconds: float | None = None) -> None:
         """Let the time until the next timer be over at once."""
         if seconds:
--- a/zinniadyke/directory/__init__.py
+++ b/zinniadyke/directory/__init__.py
@@ -11,9 +11,9 @@
 from zinniadyke.directory._service import EngineProfile
 from zinniadyke.directory._service import Origin
 from zinniadyke.directory._service import Service
+from zinniadyke.directory._signal import Signal
 from zinniadyke.directory._target import NamedVersion
 from zinniadyke.directory._target import Target
-from zinniadyke.directory._view import Signal
 from zinniadyke.directory._view import View
 
 __all__ = [
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -4,9 +4,6 @@
 import logging
 import time
 
-import eventlet
-from eventlet import event
-
 from zinniadyke.directory import _configuration
 from zinniadyke.directory import _target
 from zinniadyke import ids
@@ -85,16 +82,6 @@
         self.targets = targets
         self._notify()
 
-    def set_target(self, target: _target.Target) -> None:
-        """Add or replace one target."""
-        self.set_targets({**(self.targets or {}), target.id: target})
-
-    def remove_target(self, name: ids.TargetId) -> None:
-        """Forget one target."""
-        kept = dict(self.targets or {})
-        kept.pop(name, None)
-        self.set_targets(kept)
-
     def set_named(
         self,
         named: list[_target.NamedVersion],
@@ -215,23 +202,3 @@
 
 def _age_ms(now: float, moment: float) -> int | None:
     return None if moment == NOT_KNOWN else int((now - moment) * MS_PER_S)
-
-
-class Signal:
-    """Wakes tasks that wait for a change."""
-
-    def __init__(self) -> None:
-        """Start with nobody waiting."""
-        self.changed = event.Event()
-
-    def send(self) -> None:
-        """Wake all that wait."""
-        changed, self.changed = self.changed, event.Event()
-        changed.send()
-
-    def wait(self, timeout_s: float) -> bool:
-        """Wait; False if nothing changed within ``timeout_s`` seconds."""
-        with eventlet.Timeout(max(timeout_s, 0), False):
-            self.changed.wait()
-            return True
-        return False
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -15,6 +15,7 @@
 from zinniadyke.platform._target_api import ManifestAnswer
 from zinniadyke.platform._target_api import ModelServerClient
 from zinniadyke.platform._target_api import OriginClient
+from zinniadyke.platform._template import render_template
 from zinniadyke.platform._update import update
 from zinniadyke.platform._update import write_settled
 
@@ -34,6 +35,7 @@
     "follow_configuration",
     "follow_targets",
     "follow_versions",
+    "render_template",
     "update",
     "write_settled",
 ]
--- a/zinniadyke/settings/__init__.py
+++ b/zinniadyke/settings/__init__.py
@@ -1,6 +1,7 @@
 """Settings files: typed, checked, with errors that name the place."""
 
 from zinniadyke.settings._agent import AgentSettings
+from zinniadyke.settings._deployment import check_deployment
 from zinniadyke.settings._entry import EntrySettings
 from zinniadyke.settings._load import load
 from zinniadyke.settings._platform_host import BoundsSection
@@ -27,5 +28,6 @@
     "StatsdSettings",
     "StoreSection",
     "TargetSection",
+    "check_deployment",
     "load",
 ]
--- a/zinniadyke/settings/_load.py
+++ b/zinniadyke/settings/_load.py
@@ -12,6 +12,8 @@
 from zinniadyke.settings import _schema
 
 PLACE = re.compile(r"(.*) - at `\$\.?(.*)`")
+# How the place of a value in a mapping is told.
+ANY_KEY = "[...]"
 ADDRESS_KEYS = ("http", "peer", "address")
 MAX_PORT = 65535
 
@@ -31,10 +33,24 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        raw = tomllib.loads(text)
     except OSError as error:
         raise errors.SettingsError(f"{path}: {error.strerror}")
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{path}: {error}")
+    return parse(path, text, schema)
+
+
+def parse(path: str, text: str, schema: type = _schema.Settings):
+    """Return checked settings; ``path`` is for messages.
+
+    Raises
+    ------
+    SettingsError
+        As of :func:`load`.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
         raise errors.SettingsError(f"{path}: {error}")
     try:
         settings = msgspec.convert(raw, schema)
@@ -72,11 +88,13 @@
 def _type_at(key: str, schema: type) -> type:
     """Return the type of the schema at a dotted key."""
     found = schema
-    for part in key.split(".") if key else []:
+    plain = key.replace(ANY_KEY, "")
+    for part in plain.split(".") if plain else []:
         name, _, _ = part.partition("[")
         found = typing.get_type_hints(found)[name]
         while options := typing.get_args(found):
-            found = next(o for o in options if o is not type(None))
+            # Of a mapping, the type of its values.
+            found = [o for o in options if o is not type(None)][-1]
     return found
 
 
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -22,7 +22,6 @@
     ip: str
     regions: list["ZoneRegion"] = []
     ports: tuple[int, int] = (7700, 7715)
-    memory_mb: float = 0.0
     link_mbps: float = 0.0
 
 
@@ -51,7 +50,6 @@
     """The platform's metadata store, as ``ip:port``."""
 
     address: str
-    value_bytes: int = 1048576
 
 
 class MetricsSection(_schema.Section):
@@ -65,32 +63,19 @@
 
     Attributes
     ----------
-    drain_ms
-        A leaving target gets no new requests after this time.
-    configuration_ms
-        A configuration is in force everywhere after this time.
     version_ms
         No request begins on older weights after this time.
     grace_s
         Time from SIGTERM to SIGKILL.
-    retry_ratio, retry_window_s, retry_extra
-        Second attempts that all entries may send in a window: ratio times
-        the requests of the service, plus the extra.
-    stable_ms
-        Time without disruption after which bounds hold again.
-    address_reuse_s
-        Time after which another target may have a former one's address.
+    retry_ratio, retry_extra
+        Second attempts that all entries may send in the operators' window:
+        ratio times the requests of the service, plus the extra.
     """
 
-    drain_ms: float = 2000.0
-    configuration_ms: float = 2000.0
     version_ms: float = 8000.0
     grace_s: float = 8.0
     retry_ratio: float = 0.2
-    retry_window_s: float = 10.0
     retry_extra: float = 0.0
-    stable_ms: float = 3000.0
-    address_reuse_s: float = 2.0
 
 
 class PlatformProcessSettings(_schema.Section):
--- a/zinniadyke/settings/_schema.py
+++ b/zinniadyke/settings/_schema.py
@@ -25,7 +25,7 @@
 
 
 class LogSettings(Section):
-    """Structured logs, one JSON object a line on standard error."""
+    """Structured logs, one JSON object a line on standard output."""
 
     level: LogLevel = LogLevel.INFO
 
--- a/zinniadyke/ui/_check_command.py
+++ b/zinniadyke/ui/_check_command.py
@@ -11,13 +11,17 @@
 from zinniadyke import settings
 
 SETTINGS_SUFFIX = ".toml"
+# The file of the users' platform; its templates are checked with it.
+DEPLOY_FILE = "system.toml"
 
 
 class CheckCommand(Command):
     """Checks settings and declarations without running anything."""
 
     name = "check"
-    description = "Checks settings (.toml) and declarations (.zd)."
+    description = (
+        "Checks settings (.toml), declarations (.zd), deploy/system.toml."
+    )
     arguments = [argument("files", "Files or directories.", multiple=True)]
 
     def handle(self) -> int:
@@ -26,7 +30,9 @@
         changes: list[control.Change] = []
         for path in operators.declaration_files(self.argument("files")):
             try:
-                if path.suffix == SETTINGS_SUFFIX:
+                if path.name == DEPLOY_FILE:
+                    settings.check_deployment(path)
+                elif path.suffix == SETTINGS_SUFFIX:
                     settings.load(str(path))
                 else:
                     changes += _changes(path)
