A staged piece is read back once for all its ranges

A piece that its host had forgotten was read back whole from the target for each of the four ranges that peers ask for. It is kept for a second now, 16 pieces at most.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -7,6 +7,8 @@
 from zinniadyke import fakes
 from zinniadyke import settings
 from zinniadyke import sidecar
+from zinniadyke.sidecar import _peer_client
+from zinniadyke.sidecar import _pieces
 
 PIECES = 8
 MODEL = "m"
@@ -253,3 +255,31 @@
         assert made.all_hold(2, timeout_s=12.0)
         assert made.origin.manifests > 1
         made.check_loads()
+
+
+def test_staged_piece_is_read_back_once_for_all_its_ranges(monkeypatch):
+    monkeypatch.setattr(_peer_client, "RANGE_BYTES", 8)
+    with fleet(1) as made:
+        (agent,) = made.agents.values()
+        reads = []
+        read_piece = agent.peer_server.target.read_piece
+
+        def counted(model, index):
+            reads.append(index)
+            return read_piece(model, index)
+
+        agent.peer_server.target.read_piece = counted
+        client = _peer_client.PeerClient(port=made.port)
+        wanted = _pieces.PieceStore(
+            model=MODEL, version=1, digests=("",) * PIECES
+        )
+        piece = fakes.piece_of(1, 3)
+        found = client.piece(
+            made.ips[0],
+            wanted,
+            3,
+            size=len(piece),
+            pace=lambda size: None,
+        )
+        assert found == piece
+        assert reads == [3]
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -397,6 +397,7 @@
         idle_s = time.monotonic() - self.peer_server.asked_at
         if idle_s < PIECES_LIFE_S:
             return
+        self.peer_server.read_back.clear()
         for store in self.peer_server.stores:
             if store.version <= self._held(store.model):
                 store.pieces.clear()
--- a/zinniadyke/sidecar/_peer_server.py
+++ b/zinniadyke/sidecar/_peer_server.py
@@ -29,6 +29,10 @@
 
 PIECE_PATH = "/piece"
 MANIFEST_PATH = "/manifest"
+# Pieces that were read back from the target are kept so long, and so many:
+# each is asked for in several ranges, by a few peers at once.
+READ_BACK_LIFE_S = 1.0
+MAX_READ_BACK = 16
 # The form of ranges that agents ask for.
 RANGE = re.compile(r"bytes=(\d+)-(\d+)", re.ASCII)
 # Pieces that are sent at once.
@@ -68,6 +72,7 @@
         self.piece_count: Callable[[], int] = lambda: 0
         self.stores: list[_pieces.PieceStore] = []
         self.uploads = semaphore.Semaphore(UPLOADS_AT_ONCE)
+        self.read_back: dict[tuple[str, int], tuple[float, bytes | None]] = {}
         self.asked_at = float("-inf")
         self.sent_bytes = 0
         self.socket = listening.listen(address)
@@ -164,15 +169,26 @@
 
     def _staged(self, model: str, index: int, store) -> bytes | None:
         """Return what lies at the target; the asker checks it."""
-        try:
-            piece = self.target.read_piece(model, index)
-        except errors.EngineError as error:
-            LOG.warning("piece not read", extra={"reason": error.message})
-            return None
+        read_at, piece = self.read_back.get((model, index), (0.0, None))
+        if piece is None or time.monotonic() - read_at > READ_BACK_LIFE_S:
+            try:
+                piece = self.target.read_piece(model, index)
+            except errors.EngineError as error:
+                LOG.warning("piece not read", extra={"reason": error.message})
+                return None
+            self._keep(model, index, piece)
         if store is not None and not store.matches(index, piece):
             return None
         return piece
 
+    def _keep(self, model: str, index: int, piece: bytes | None) -> None:
+        """Keep what was read back for the other ranges of the piece."""
+        if piece is None:
+            return
+        self.read_back[model, index] = (time.monotonic(), piece)
+        while len(self.read_back) > MAX_READ_BACK:
+            del self.read_back[next(iter(self.read_back))]
+
 
 def _answer(start_response, status: http.HTTPStatus, body: bytes | str = b""):
     if isinstance(body, str):
