--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,121 @@
+import eventlet
+import pytest
+
+from zinniadyke import directory
+from zinniadyke import errors
+from zinniadyke.gateway import _admission
+from zinniadyke.gateway import admission
+from zinniadyke import ids
+
+SLOTS = 2
+ENGINE = directory.EngineProfile(
+    slots=SLOTS,
+    kv_tokens=1000,
+    step_s=0.01,
+    step_per_request_s=0.0,
+    step_per_context_token_s=0.0,
+    read_tokens_per_s=1000.0,
+    read_pair_s=0.0,
+    steps_per_pass=1,
+    models=("m",),
+    layers=1,
+    chunks=0,
+    chunk_bytes=0,
+    usual_prompt_tokens=10,
+    usual_answer_tokens=10,
+)
+ROUTE = directory.Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    repeat=directory.Repeat.RESUME,
+    streaming=True,
+    timeout_s=6.0,
+    objective_s=0.4,
+    max_gap_s=0.3,
+    max_attempts=2,
+    priority=1,
+    public=True,
+    backends=(),
+)
+
+
+@pytest.fixture
+def full():
+    """An admission before one target whose places are taken."""
+    view = directory.View()
+    view.set_configuration(
+        directory.ServingConfiguration(
+            version=1,
+            routes={},
+            services={
+                "s": directory.Service(
+                    name="s", max_connections=9, engine=ENGINE
+                )
+            },
+            limits=directory.CallerLimits(),
+            workspaces=None,
+        )
+    )
+    target = directory.Target(
+        id="t",
+        service="s",
+        address="a:1",
+        zone="z",
+        slots=SLOTS,
+        leaving=False,
+        born_ms=0,
+        weights={"m": 1},
+    )
+    view.set_targets({"t": target})
+    book = admission.TargetBook(view=view, version_bound_s=8.0)
+    made = admission.Admission(book=book, service="s", distance=lambda z: 0.0)
+    for _ in range(SLOTS):
+        made.acquire(call())
+    return made
+
+
+def call(priority=1, objective_s=5.0):
+    now = _admission.time.monotonic()
+    return admission.Call(
+        request=None,
+        id=ids.RequestId("q"),
+        route=ROUTE,
+        service="s",
+        workspace=None,
+        priority=priority,
+        deadline=now + 6.0,
+        objective_at=now + objective_s,
+        model="m",
+        last_event_id="",
+        tried=[],
+    )
+
+
+def test_request_waits_behind_those_as_urgent_only(full):
+    """One completion a second is known; three less urgent ones wait."""
+    full.completions.extend([_admission.time.monotonic()] * 2)
+    waiting = [eventlet.spawn(full.acquire, call(2)) for _ in range(3)]
+    eventlet.sleep(0.01)
+    assert len(full.queue) == 3
+    with pytest.raises(errors.RequestError):
+        full.acquire(call(2, objective_s=2.0))
+    urgent = eventlet.spawn(full.acquire, call(1, objective_s=2.0))
+    eventlet.sleep(0.01)
+    assert len(full.queue) == 4
+    for task in (*waiting, urgent):
+        task.kill()
+
+
+def test_request_that_cannot_be_in_time_is_refused_at_once(full):
+    begun = _admission.time.monotonic()
+    with pytest.raises(errors.RequestError) as refused:
+        full.acquire(call(objective_s=0.1))
+    assert _admission.time.monotonic() - begun < 0.05
+    assert refused.value.retry_after_s > 0
+
+
+def test_caller_that_is_late_already_takes_a_free_place(full):
+    (state,) = full.book.states.values()
+    full.release(state)
+    assert full.acquire(call(objective_s=-1.0)) is state
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -73,7 +73,7 @@
             answer_s=self.answer_s,
         )
         if state is None:
-            raise self._refusal(errors.ResultCode.NO_TARGET)
+            raise self._refusal(errors.ResultCode.NO_TARGET, call)
         return self._take(state)
 
     def acquire(self, call: _call.Call) -> _target_state.TargetState:
@@ -89,14 +89,14 @@
             if state is not None:
                 return self._take(state)
         if not self.book.candidates(self.service, call.model, call.tried):
-            raise self._refusal(errors.ResultCode.NO_TARGET)
+            raise self._refusal(errors.ResultCode.NO_TARGET, call)
         while True:
             patience_s = self._patience_s(call)
             call.waiting_then = len(self.queue)
-            call.expected_wait_s = self._expected_wait_s()
+            call.expected_wait_s = self._expected_wait_s(call.priority)
             call.patience_s = patience_s
             if patience_s <= 0 or call.expected_wait_s > patience_s:
-                raise self._refusal(errors.ResultCode.QUEUE_FULL)
+                raise self._refusal(errors.ResultCode.QUEUE_FULL, call)
             telemetry.gauge(
                 telemetry.Metric.QUEUE_LENGTH,
                 len(self.queue) + 1,
@@ -163,17 +163,19 @@
         )
         return min(on_time_s, call.left_s)
 
-    def _expected_wait_s(self) -> float:
+    def _expected_wait_s(self, priority: int) -> float:
+        """Return the wait behind all that are as urgent or more so."""
         now = time.monotonic()
         while self.completions and (self.completions[0] < now - RATE_WINDOW_S):
             self.completions.popleft()
         rate = max(len(self.completions), 1) / RATE_WINDOW_S
-        return (len(self.queue) + 1) / rate
+        return (self.queue.ahead(priority) + 1) / rate
 
-    def _refusal(self, code: errors.ResultCode) -> errors.RequestError:
-        wait_s = min(
-            max(self._expected_wait_s(), RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S
-        )
+    def _refusal(
+        self, code: errors.ResultCode, call: _call.Call
+    ) -> errors.RequestError:
+        expected_s = self._expected_wait_s(call.priority)
+        wait_s = min(max(expected_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
         if code is errors.ResultCode.NO_TARGET:
             wait_s = NO_TARGET_RETRY_S
         return errors.RequestError(
--- a/zinniadyke/requests/_fair_queue.py
+++ b/zinniadyke/requests/_fair_queue.py
@@ -66,6 +66,14 @@
         """Return the number of requests that wait."""
         return sum(self.waiting.values())
 
+    def ahead(self, priority: int) -> int:
+        """Return how many wait that are as urgent or more so."""
+        return sum(
+            count
+            for line, count in self.waiting.items()
+            if line.priority <= max(priority, 0)
+        )
+
     def wait(
         self,
         workspace: ids.WorkspaceName,
