A frozen agent holds up the digests of others for 0.3 s; a tree passes them on

If it is the first of the order, all others asked it for up to 1.6 s each time before anybody read the origin; the second version came so late that the loss of power took what was not staged. Now digests are waited for 0.3 s at a peer, and each host passes them on to four at most (the first three of the order served all others before). Tests: tests/sidecar/test_peer_client.py, test_manifest.py.

--- a/tests/sidecar/test_manifest.py
+++ b/tests/sidecar/test_manifest.py
@@ -1,3 +1,5 @@
+import collections
+
 import pytest
 
 from tests import clock
@@ -19,14 +21,14 @@
     return found
 
 
-def read(before, has=()):
+def read(place, has=()):
     asked = []
 
     def ask(host):
         asked.append(host)
         return DIGESTS if host in has else None
 
-    found = _manifest.read_digests(before, ask, lambda: "origin")
+    found = _manifest.read_digests(HOSTS, HOSTS[place], ask, lambda: "origin")
     return found, asked
 
 
@@ -40,20 +42,33 @@
 
 
 def test_first_host_asks_nobody_else(moving):
-    assert read([]) == ("origin", [])
+    assert read(0) == ("origin", [])
 
 
 def test_later_hosts_get_them_from_those_before(moving):
-    found, asked = read(HOSTS[:5], has=HOSTS[1:2])
+    found, asked = read(7, has=HOSTS[:1])
     assert found == DIGESTS
-    assert asked == HOSTS[:2]
+    assert asked == [HOSTS[1], HOSTS[0]]
+
+
+def test_no_host_passes_them_on_to_many():
+    hosts = [f"h{n}" for n in range(630)]
+    asked = collections.Counter(
+        _manifest.sources(hosts, me)[0] for me in hosts[1:]
+    )
+    assert max(asked.values()) <= _manifest.CHILDREN
+    assert _manifest.sources(hosts, "h0") == []
+    for place, me in enumerate(hosts):
+        assert all(
+            hosts.index(host) < place for host in _manifest.sources(hosts, me)
+        )
 
 
 def test_hosts_read_the_origin_in_turn_when_nobody_has_them(moving):
     took = []
     for place in range(8):
         begun = moving.now
-        found, asked = read(HOSTS[:place])
+        found, asked = read(place)
         assert found == "origin"
         assert len(set(asked)) <= _manifest.SOURCES
         took.append(moving.now - begun)
--- /dev/null
+++ b/tests/sidecar/test_peer_client.py
@@ -0,0 +1,22 @@
+import types
+
+from zinniadyke.sidecar import _peer_client
+
+
+def test_frozen_peer_holds_up_digests_less_than_pieces(monkeypatch):
+    """Many wait for those who ask first."""
+    asked = []
+
+    def request(self, method, path, *, headers, timeout):
+        asked.append((path, timeout.connect_timeout, timeout.read_timeout))
+        return types.SimpleNamespace(status=404, data=b"")
+
+    monkeypatch.setattr(
+        _peer_client.urllib3.HTTPConnectionPool, "request", request
+    )
+    client = _peer_client.PeerClient(port=1)
+    assert client.digests("10.0.0.1", "m", 2) is None
+    ((path, connect_s, read_s),) = asked
+    assert path == "/manifest?model=m&version=2"
+    assert max(connect_s, read_s) <= _peer_client.DIGESTS_TIMEOUT_S
+    assert _peer_client.DIGESTS_TIMEOUT_S < _peer_client.READ_TIMEOUT_S / 4
--- a/zinniadyke/sidecar/_keeper.py
+++ b/zinniadyke/sidecar/_keeper.py
@@ -225,13 +225,13 @@
             version,
             sorted({t.host_ip for t in self._neighbours()} | {my_ip}),
         )
-        before = hosts[: hosts.index(my_ip)]
         if (model, version) in self.doubted:
-            before = []
+            hosts = [my_ip]
         origin = self._origin()
         try:
             return _manifest.read_digests(
-                before,
+                hosts,
+                my_ip,
                 lambda host: self.client.digests(host, model, version),
                 lambda: origin.manifest(model, version).digests,
             )
--- a/zinniadyke/sidecar/_manifest.py
+++ b/zinniadyke/sidecar/_manifest.py
@@ -18,7 +18,9 @@
 # it reads the origin itself, up to the second figure.
 TURN_S = 0.4
 MAX_WAIT_S = 2.5
-# Hosts before this one that are asked, and the pause between rounds.
+# Each host passes the digests on to so many, which ask it and, should it be
+# gone, its own sources; and the pause between rounds.
+CHILDREN = 4
 SOURCES = 3
 POLL_S = 0.05
 
@@ -32,8 +34,19 @@
     )
 
 
+def sources(hosts: list[str], me: str) -> list[str]:
+    """Return whom a host of the order asks, the nearest first."""
+    found = []
+    place = hosts.index(me)
+    while place > 0 and len(found) < SOURCES:
+        place = (place - 1) // CHILDREN
+        found.append(hosts[place])
+    return found
+
+
 def read_digests(
-    before: list[str],
+    hosts: list[str],
+    me: str,
     ask_peer: Callable[[str], Digests | None],
     read_origin: Callable[[], Digests],
 ) -> Digests:
@@ -41,17 +54,18 @@
 
     Parameters
     ----------
-    before
-        Hosts that come before this one in the order.
+    hosts
+        All hosts in their order, with this one.
 
     Raises
     ------
     WeightsError
         Nobody has them, and the origin does not answer.
     """
-    until = time.monotonic() + min(len(before) * TURN_S, MAX_WAIT_S)
+    turn_s = min(hosts.index(me) * TURN_S, MAX_WAIT_S)
+    until = time.monotonic() + turn_s
     while time.monotonic() < until:
-        for host_ip in before[:SOURCES]:
+        for host_ip in sources(hosts, me):
             found = ask_peer(host_ip)
             if found:
                 return found
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -15,11 +15,16 @@
 CONNECT_TIMEOUT_S = 1.0
 # A piece takes some 70 ms on a free link, several share it.
 READ_TIMEOUT_S = 1.6
+# Digests are a few KB, and many peers wait for those who ask first: a peer
+# that is frozen must not hold them up.
+DIGESTS_TIMEOUT_S = 0.3
 CONNECTIONS = 8
 # Pieces are asked for in ranges of this size: whole ones from several peers
 # at once would queue in the host's link, before the requests that come in.
 RANGE_BYTES = 8192
 
+PIECE_TIMEOUT = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+
 
 class PeerClient:
     """Calls the agents' peer servers; keeps connections.
@@ -43,6 +48,9 @@
         data = self._get(
             host_ip,
             f"{_peer_server.MANIFEST_PATH}?model={model}&version={version}",
+            timeout=urllib3.Timeout(
+                connect=DIGESTS_TIMEOUT_S, read=DIGESTS_TIMEOUT_S
+            ),
         )
         if data is None:
             return None
@@ -87,7 +95,12 @@
         return b"".join(parts)
 
     def _get(
-        self, host_ip: str, path: str, headers: dict[str, str] | None = None
+        self,
+        host_ip: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        timeout: urllib3.Timeout = PIECE_TIMEOUT,
     ) -> bytes | None:
         pool = self.pools.get(host_ip)
         if pool is None:
@@ -99,9 +112,7 @@
                 "GET",
                 path,
                 headers=headers,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
-                ),
+                timeout=timeout,
             )
         except urllib3.exceptions.HTTPError as error:
             if host_ip not in self.silent:
