Admission's tests take the engine and route of the placement bench

The tests wrote the same profile and route once more. Ruled out: a profile of the tests' own; the bench's differs in the slots only, which are replaced here. Assertions are as before.

--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,6 +1,8 @@
 import eventlet
+import msgspec
 import pytest
 
+from zinniadyke.bench import _placement_fleet
 from zinniadyke import directory
 from zinniadyke import errors
 from zinniadyke.gateway import _admission
@@ -8,36 +10,7 @@
 from zinniadyke import ids
 
 SLOTS = 2
-ENGINE = directory.EngineProfile(
-    slots=SLOTS,
-    kv_tokens=1000,
-    step_s=0.01,
-    step_per_request_s=0.0,
-    step_per_context_token_s=0.0,
-    read_tokens_per_s=1000.0,
-    read_pair_s=0.0,
-    steps_per_pass=1,
-    models=("m",),
-    layers=1,
-    chunks=0,
-    chunk_bytes=0,
-    usual_prompt_tokens=10,
-    usual_answer_tokens=10,
-)
-ROUTE = directory.Route(
-    name="r",
-    host="h",
-    path_prefix="/",
-    repeat=directory.Repeat.RESUME,
-    streaming=True,
-    timeout_s=6.0,
-    objective_s=0.4,
-    max_gap_s=0.3,
-    max_attempts=2,
-    priority=1,
-    public=True,
-    backends=(),
-)
+ENGINE = msgspec.structs.replace(_placement_fleet.PROFILE, slots=SLOTS)
 
 
 @pytest.fixture
@@ -80,7 +53,7 @@
     return admission.Call(
         request=None,
         id=ids.RequestId("q"),
-        route=ROUTE,
+        route=_placement_fleet.ROUTE,
         service="s",
         workspace=None,
         priority=priority,
