Close peer sockets also when the closing task is killed

Cause: PeerConnection.close marked itself closed, then killed its reader, which yields; a task that was killed at that point (Entry.stop kills its pools' tasks) never closed the socket, later close() calls returned at once, and zmq's Context.term waited forever. PeerServer.stop had the same order.

Change: the socket is closed in a finally block. Two tests play just that order of steps; both failed before.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -61,7 +61,8 @@
     Parameters
     ----------
     directory
-        Directory for settings files and logs.
+        Directory for settings files, logs (standard output, ``NAME.log``)
+        and start-up errors (standard error, ``NAME.err``).
     """
 
     def __init__(self, *, directory: pathlib.Path) -> None:
@@ -78,8 +79,8 @@
         arguments = [sys.executable, "-m", "zinniadyke", *command]
         process = subprocess.Popen(
             [*arguments, "--config", str(path)],
-            stdout=subprocess.DEVNULL,
-            stderr=(self.directory / f"{name}.log").open("w"),
+            stdout=(self.directory / f"{name}.log").open("w"),
+            stderr=(self.directory / f"{name}.err").open("w"),
         )
         self.processes.append(process)
         return process
--- a/tests/peers/test_connection.py
+++ b/tests/peers/test_connection.py
@@ -1,6 +1,7 @@
 """Timeouts of calls to a peer."""
 
 import eventlet
+from eventlet.green import zmq
 from eventlet import patcher
 import pytest
 
@@ -33,3 +34,38 @@
         block_process(blocked_s)
         with pytest.raises(errors.PeerTimeoutError):
             waiting.wait()
+
+
+def test_killed_close_leaves_no_open_socket():
+    """A task that is killed while it closes a connection closes the socket.
+
+    Closing the connection kills its reader, which yields. A socket that is
+    still open then makes the termination of its context wait forever.
+    """
+    context = zmq.Context()
+    connection = peers.PeerConnection(
+        context=context, address="127.0.0.1:12000"
+    )
+    eventlet.sleep(0)
+    closing = eventlet.spawn(connection.close)
+    # The hub runs this after close() has killed the reader and yielded.
+    eventlet.spawn_after(0, closing.kill)
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    assert connection.closed
+    assert connection.socket.closed
+    context.destroy(linger=0)
+
+
+def test_stop_of_a_killed_task_closes_the_server_socket():
+    """A task that is killed while it stops a server closes the socket."""
+    context = zmq.Context()
+    server = peers.PeerServer(context=context, address="127.0.0.1:0")
+    server.start()
+    eventlet.sleep(0)
+    stopping = eventlet.spawn(server.stop)
+    eventlet.spawn_after(0, stopping.kill)
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    assert server.socket.closed
+    context.destroy(linger=0)
--- a/zinniadyke/peers/_connection.py
+++ b/zinniadyke/peers/_connection.py
@@ -150,8 +150,12 @@
             return
         self.closed = True
         self.fail_calls()
-        self.reader_task.kill()
-        self.socket.close()
+        try:
+            self.reader_task.kill()
+        finally:
+            # kill() yields, so this task may be killed before it returns. An
+            # open socket would make the context's term() wait forever.
+            self.socket.close()
 
     def _read_answers(self) -> None:
         while True:
--- a/zinniadyke/peers/_server.py
+++ b/zinniadyke/peers/_server.py
@@ -99,9 +99,13 @@
 
     def stop(self, linger_ms: int = 0) -> None:
         """Stop receiving, close the socket and kill the handler tasks."""
-        if self.reader_task:
-            self.reader_task.kill()
-        self.socket.close(linger=linger_ms)
+        try:
+            if self.reader_task:
+                self.reader_task.kill()
+        finally:
+            # kill() yields, so this task may be killed before it returns. An
+            # open socket would make the context's term() wait forever.
+            self.socket.close(linger=linger_ms)
         for task in list(self.handler_tasks.coroutines_running):
             eventlet.kill(task)
 
