Follow a restored store by its era; keep away from leaving and closed targets

Change: revisions are pairs of era and number, never compared across eras; answers of earlier eras are dropped; followers list again, keep missing registrations for the grace period and ignore removed ones until they change. A start of a target that left or said so is a leaver for good. A closed target gets nothing until its time is over, also from attempts that were connecting, and callers are refused at once with the time until one opens. A page of a list that ends with unreadable objects made the list end early or repeat.

--- a/zinniadyke/control/_head.py
+++ b/zinniadyke/control/_head.py
@@ -58,7 +58,7 @@
     """A head and the platform's revision of its record."""
 
     head: Head
-    platform_revision: int | None
+    platform_revision: platform.Revision | None
 
 
 def read_head(client: platform.PlatformClient) -> StoredHead:
--- a/zinniadyke/control/_sync.py
+++ b/zinniadyke/control/_sync.py
@@ -68,7 +68,7 @@
         self.hosts: list[platform.Host] = []
         self.hosts_digest = ""
         self.is_watcher = False
-        self.platform_revision = 0
+        self.platform_revision: platform.Revision | None = None
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -20,6 +20,9 @@
 # Targets whose registration lapsed during an outage of the store register
 # again within about 2 s of its end.
 LAPSE_GRACE_S = 2.0
+# Objects removed within this time are remembered, as a store that is restored
+# from a copy some seconds old lists them again.
+REMOVED_MEMORY_S = 60.0
 # Added to a watch that ends with the grace period, to end after it.
 GRACE_MARGIN_S = 0.05
 
@@ -43,8 +46,12 @@
     on_update
         Called with all objects after each change.
     keep_lapsed
-        Whether objects that disappear around an outage of the store are
-        kept for a grace period of ``LAPSE_GRACE_S`` seconds.
+        Whether objects that disappear around an outage or a restoration of
+        the store are kept for a grace period of ``LAPSE_GRACE_S`` seconds,
+        and objects that a restored store lists again after their removal
+        are left out until they change.
+    era
+        Returns the era of the store, which rises when it is restored.
     batch_window_s
         Pause after each batch of changes, in seconds. The platform charges
         for each call, and one call returns all changes since the last.
@@ -60,6 +67,7 @@
         on_update: Callable[[dict], None],
         keep_lapsed: bool = False,
         batch_window_s: float = 0.0,
+        era: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Start without objects; :meth:`run` reads them."""
@@ -70,10 +78,17 @@
         self.on_update = on_update
         self.keep_lapsed = keep_lapsed
         self.batch_window_s = batch_window_s
+        self.era = era
         self.clock = clock
         self.objects: dict[str, object] = {}
         self.lapsed: dict[str, object] = {}
-        self.revision: int | None = None
+        # Monotonic time of the removal of each object.
+        self.removed: dict[str, float] = {}
+        # Objects that a restored store lists although they were removed.
+        self.resurrected: dict[str, object] = {}
+        self.listed_era: int | None = None
+        # Opaque here; passed back to ``wait_for_changes``.
+        self.revision: object | None = None
         self.last_answer_at = float("-inf")
         self.outage_ended_at = float("-inf")
         self.in_outage = False
@@ -113,7 +128,8 @@
         if self.revision is None:
             objects, revision = self.list_all()
             self._record_answer()
-            changed = self._replace(objects)
+            restored = self._record_era()
+            changed = self._replace(objects, restored=restored)
         else:
             changes, revision = self.wait_for_changes(
                 self.revision, self._wait_s()
@@ -136,29 +152,72 @@
         left_s = self.outage_ended_at + LAPSE_GRACE_S - self.clock()
         return min(max(left_s, 0.0) + GRACE_MARGIN_S, WATCH_WAIT_S)
 
-    def _replace(self, objects: dict) -> bool:
+    def _record_era(self) -> bool:
+        """Return whether the store was restored since the last list."""
+        before, self.listed_era = self.listed_era, self.era()
+        restored = before is not None and before != self.listed_era
+        if restored:
+            self.outage_ended_at = self.last_answer_at
+            LOG.info(
+                "listed again after the store was restored",
+                extra={"kind": self.name, "era": self.listed_era},
+            )
+        return restored
+
+    def _replace(self, objects: dict, *, restored: bool) -> bool:
         for name, obj in self.objects.items():
             if name not in objects:
-                self._retain_lapsed(name, obj)
-        self.objects = objects
+                self._remove(name, obj)
+        present = dict(objects)
+        for name in objects.keys() & (
+            self.removed.keys() if restored else self.resurrected.keys()
+        ):
+            if restored or objects[name] == self.resurrected[name]:
+                self.resurrected[name] = present.pop(name)
+                LOG.info(
+                    "removed object ignored until it changes",
+                    extra={"kind": self.name, "object": name},
+                )
+        self.resurrected = {
+            name: obj
+            for name, obj in self.resurrected.items()
+            if name in objects and name not in present
+        }
+        self.objects = present
+        for name in present:
+            self.lapsed.pop(name, None)
+            self.removed.pop(name, None)
         return True
 
     def _apply(self, changes: list) -> bool:
         for name, obj in changes:
+            self.resurrected.pop(name, None)
             if obj is not None:
                 self.objects[name] = obj
                 self.lapsed.pop(name, None)
+                self.removed.pop(name, None)
             elif name in self.objects:
-                self._retain_lapsed(name, self.objects.pop(name))
+                self._remove(name, self.objects.pop(name))
         return bool(changes)
 
-    def _retain_lapsed(self, name: str, obj: object) -> None:
-        if self.keep_lapsed and self._in_grace_period():
+    def _remove(self, name: str, obj: object) -> None:
+        if not self.keep_lapsed:
+            return
+        now = self.clock()
+        self.removed = {
+            n: at
+            for n, at in self.removed.items()
+            if now - at < REMOVED_MEMORY_S
+        }
+        if self._in_grace_period():
             self.lapsed[name] = obj
+        else:
+            self.removed[name] = now
 
     def _drop_lapsed(self) -> bool:
         if not self.lapsed or self._in_grace_period():
             return False
+        self.removed.update(dict.fromkeys(self.lapsed, self.clock()))
         self.lapsed.clear()
         return True
 
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -4,6 +4,8 @@
 import logging
 import time
 
+import msgspec
+
 from zinniadyke.directory import _configuration
 from zinniadyke.directory import _target
 from zinniadyke import ids
@@ -15,6 +17,8 @@
 # Versions that have been desired for longer are not reported; they apply as
 # if they had always been desired.
 RECENT_VERSION_S = 30.0
+# Leaving targets that are remembered, the latest ones.
+MAX_LEAVING = 4096
 MS_PER_S = 1000
 # Marks a version that was desired before this process could observe it.
 UNKNOWN_SINCE = float("-inf")
@@ -36,6 +40,9 @@
     watches_versions
         Whether this process watches the store for desired versions and so
         observes a new one at once.
+    leaving
+        Incarnations of targets that are known to leave. A start of a target
+        that leaves never takes requests again, whatever is listed later.
     on_change
         Functions that are called without arguments after each change.
     """
@@ -52,6 +59,7 @@
             dict[ids.ModelName, ids.WeightsVersion] | None
         ) = None
         self.watches_versions = False
+        self.leaving: dict[tuple[ids.TargetId, int], None] = {}
         self.on_change: list[Callable[[], None]] = []
 
     @property
@@ -80,6 +88,13 @@
     def set_targets(self, targets: dict[ids.TargetId, _target.Target]) -> None:
         """Replace the list of targets."""
         old = self.targets or {}
+        for target in targets.values():
+            if target.leaving:
+                self._remember_leaving(target)
+        targets = {
+            name: self._apply_leaving(target)
+            for name, target in targets.items()
+        }
         for name in old.keys() - targets.keys():
             _log_target("target gone", old[name])
         for name, new in targets.items():
@@ -88,6 +103,46 @@
         self.targets = targets
         self._notify()
 
+    def mark_leaving(self, target: _target.Target, *, source: str) -> None:
+        """Record that a target said itself that it is leaving.
+
+        Parameters
+        ----------
+        source
+            What said so, for the log.
+        """
+        if target.incarnation in self.leaving:
+            return
+        self._remember_leaving(target)
+        LOG.info(
+            "target is leaving",
+            extra={
+                "target": target.id,
+                "service": target.service,
+                "address": target.address,
+                "born": target.born_ms,
+                "source": source,
+            },
+        )
+        found = (self.targets or {}).get(target.id)
+        if found is not None and found.incarnation == target.incarnation:
+            self.targets = {
+                **self.targets,
+                target.id: self._apply_leaving(found),
+            }
+            self._notify()
+
+    def _remember_leaving(self, target: _target.Target) -> None:
+        self.leaving.pop(target.incarnation, None)
+        self.leaving[target.incarnation] = None
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+
+    def _apply_leaving(self, target: _target.Target) -> _target.Target:
+        if target.leaving or target.incarnation not in self.leaving:
+            return target
+        return msgspec.structs.replace(target, leaving=True)
+
     def set_desired_weights(
         self,
         desired_weights: list[_target.DesiredWeights],
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -35,6 +35,8 @@
 # Targets that load weights or recover take longer than a slot takes to become
 # free. Callers follow Retry-After up to a third of their remaining deadline.
 NO_TARGET_RETRY_S = 2.0
+# Callers that return to targets that have reopened are spread over this time.
+REOPEN_SPREAD_S = 0.5
 # Limit per workspace and priority. In practice the estimated wait keeps the
 # queue shorter.
 MAX_QUEUE_LENGTH = 1000
@@ -100,11 +102,12 @@
             state = self._choose_target(call)
             if state is not None:
                 return self._reserve_slot(state)
-        if not self.target_table.candidates(
-            self.service, call.model, call.tried
-        ):
-            raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
         while True:
+            # Checked again after each wait: targets may have closed.
+            if not self.target_table.candidates(
+                self.service, call.model, call.tried
+            ):
+                raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
             max_wait_s = self._max_wait_s(call)
             call.queue_length_at_decision = len(self.queue)
             call.expected_wait_s = self._expected_wait_s(call.priority)
@@ -151,6 +154,11 @@
         """Grant a turn to one waiting request per free slot."""
         if not len(self.queue):
             return
+        if not self.target_table.has_open_target(self.service):
+            # Those that wait find no target and are refused at once.
+            while self.queue.grant():
+                pass
+            return
         free = sum(
             max(0, s.free_slots)
             for s in self.target_table.available_targets(self.service)
@@ -208,6 +216,13 @@
         wait_s = min(max(expected_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
         if code is errors.ResultCode.NO_TARGET:
             wait_s = NO_TARGET_RETRY_S
+            reopens_in_s = self.target_table.reopens_in_s(self.service)
+            if reopens_in_s is not None:
+                return errors.RequestError(
+                    code=code,
+                    retry_after_s=reopens_in_s
+                    + random.uniform(0.0, REOPEN_SPREAD_S),
+                )
         return errors.RequestError(
             code=code, retry_after_s=wait_s * random.uniform(0.7, 1.3)
         )
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -1,12 +1,18 @@
 """One attempt of a request at one target."""
 
+from collections.abc import Callable
 import http
+import logging
 import time
 
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _target_connection
 from zinniadyke.gateway import _target_state
+from zinniadyke import platform
 from zinniadyke.platform import headers
+from zinniadyke import telemetry
+
+LOG = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
 # A healthy target accepts within a few milliseconds; a lost SYN would be
@@ -66,6 +72,9 @@
         Cause of the outcome, for logs and error texts.
     failed_body
         Body of a response that reports the target's own failure.
+    on_leaving
+        Called with the attempt if the response says that the target is
+        leaving, before anything is relayed.
     """
 
     def __init__(
@@ -85,6 +94,7 @@
         self.outcome: _call.Outcome | None = None
         self.reason = ""
         self.failed_body = b""
+        self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
         self.started_at = time.monotonic()
 
     def begin(self, response_timeout_s: float) -> None:
@@ -95,6 +105,10 @@
         except _target_connection.NotConnectedError as error:
             self._finish(_call.Outcome.NOT_RUN, str(error))
             return
+        # Others may have learned it while this attempt was connecting.
+        if self.state.closed or self.state.target.leaving:
+            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
+            return
         try:
             self.connection.send(self._encode_request(), remaining_s)
             self.connection.read_head(
@@ -107,7 +121,10 @@
             self._finish(_call.Outcome.BROKEN, str(error))
             return
         self._record_load()
+        self._record_retry_after()
         self._check_head()
+        if self.connection.header(headers.LEAVING) == "1":
+            self.on_leaving(self)
 
     def read_body(self) -> bytes | None:
         """Return the complete body; None if the response broke."""
@@ -186,6 +203,30 @@
         if len(parts) == 3 and all(p.strip().isdigit() for p in parts):
             self.state.record_load(int(parts[0]), int(parts[1]))
 
+    def _record_retry_after(self) -> None:
+        """Send the target nothing for the time that its 503 asks for."""
+        if self.connection.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        seconds = platform.parse_retry_after(
+            self.connection.header(headers.RETRY_AFTER),
+            self.connection.address,
+        )
+        if not seconds:
+            return
+        self.state.close_for(seconds)
+        telemetry.count(
+            telemetry.Metric.TARGETS_CLOSED, label=self.state.target.service
+        )
+        LOG.info(
+            "target wants no requests",
+            extra={
+                "request": self.call.id,
+                "target": self.state.target.id,
+                "service": self.state.target.service,
+                "s": seconds,
+            },
+        )
+
     def _encode_request(self) -> bytes:
         call, request = self.call, self.call.request
         dropped = _connection_options(request.headers)
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -95,6 +95,7 @@
             start_deadline = self.target_table.start_deadline(
                 state, call.model
             )
+            attempt.on_leaving = self._record_leaving
             try:
                 relay.run(attempt, start_deadline - time.monotonic())
             finally:
@@ -134,6 +135,26 @@
             last_event_id=relay.last_event_id,
         )
 
+    def _record_leaving(self, attempt: _attempt.Attempt) -> None:
+        """Record that the target that answered is leaving.
+
+        An answer that the request is for another target comes from the one
+        that is registered at the address now.
+        """
+        asked = attempt.state.target
+        leaving = [asked]
+        if attempt.misdirected:
+            leaving = [
+                t
+                for t in (self.view.targets or {}).values()
+                if t.address == asked.address and t.id != asked.id
+            ]
+        for target in leaving:
+            self.view.mark_leaving(target, source="answer")
+            telemetry.count(
+                telemetry.Metric.TARGETS_LEAVING, label=target.service
+            )
+
     def _record_outcome(
         self, attempt: _attempt.Attempt, state: _target_state.TargetState
     ) -> None:
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -103,6 +103,7 @@
 
     def _apply_report(self, report: reports.LoadReport) -> None:
         reports.learn_desired_weights(self.view, report.named)
+        leaving = []
         for state in self.target_table.states.values():
             target = state.target
             if target.address != report.address:
@@ -118,7 +119,11 @@
                 else time.monotonic() + report.switch_in_ms / MS_PER_S
             )
             state.weights = report.weights
+            if report.leaving:
+                leaving.append(target)
             self.on_report()
+        for target in leaving:
+            self.view.mark_leaving(target, source="agent")
 
     def _agent_host_ips(self) -> list[str]:
         configuration = self.view.configuration
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -41,6 +41,9 @@
         Whether the target rejects new requests while it switches weights.
     outdated
         Whether a later-started target is registered at the same address.
+    closed_until
+        Monotonic time until which the target wants no request from this
+        host.
     switches_at
         Monotonic time at which the target will switch its weights, which
         interrupts its running requests; infinite if none is planned.
@@ -62,6 +65,7 @@
         self.ejected_until = float("-inf")
         self.outdated = False
         self.replaced_until = float("-inf")
+        self.closed_until = float("-inf")
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
@@ -98,6 +102,15 @@
         """Record that another target responded at the address."""
         self.replaced_until = time.monotonic() + REPLACED_BACKOFF_S
 
+    def close_for(self, seconds: float) -> None:
+        """Send nothing to the target for a time that it asked for."""
+        self.closed_until = max(self.closed_until, time.monotonic() + seconds)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the target wants no request from this host now."""
+        return time.monotonic() < self.closed_until
+
     @property
     def replaced(self) -> bool:
         """Whether another target is known to use the address."""
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -35,6 +35,9 @@
         self.view = view
         self.version_bound_s = version_bound_s
         self.states: dict[ids.TargetId, _target_state.TargetState] = {}
+        # Until when a start of a target that is no longer listed wants no
+        # request; it may be listed again meanwhile.
+        self.closed_unlisted: dict[tuple[ids.TargetId, int], float] = {}
         view.on_change.append(self.refresh)
         self.refresh()
 
@@ -42,20 +45,34 @@
         """Apply the directory's targets; a restarted one gets a new state."""
         targets = self.view.targets or {}
         for name in self.states.keys() - targets.keys():
-            del self.states[name]
+            self._remember_closed(self.states.pop(name))
         latest_start_ms = _latest_starts_ms(targets.values())
         for name, target in targets.items():
             state = self.states.get(name)
             if state is None or (
                 state.target.incarnation != target.incarnation
             ):
-                self.states[name] = _target_state.TargetState(target=target)
+                state = _target_state.TargetState(target=target)
+                state.closed_until = self.closed_unlisted.pop(
+                    target.incarnation, float("-inf")
+                )
+                self.states[name] = state
             else:
                 state.target = target
             self.states[name].outdated = (
                 0 < target.born_ms < latest_start_ms[target.address]
             )
 
+    def _remember_closed(self, state: _target_state.TargetState) -> None:
+        now = time.monotonic()
+        self.closed_unlisted = {
+            incarnation: until
+            for incarnation, until in self.closed_unlisted.items()
+            if until > now
+        }
+        if state.closed:
+            self.closed_unlisted[state.target.incarnation] = state.closed_until
+
     def is_current(self, state: _target_state.TargetState) -> bool:
         """Whether the target is still registered and not draining."""
         found = self.states.get(state.target.id)
@@ -78,8 +95,7 @@
             state
             for state in self.states.values()
             if state.target.service == service
-            and not state.target.leaving
-            and not state.replaced
+            and self.accepts_requests(state)
             and state.target.id not in tried
             and (
                 not holds_weights or state.held_version(model) >= max(least, 1)
@@ -90,6 +106,38 @@
         ]
         return available_targets or [s for s in found if not s.switching]
 
+    def accepts_requests(self, state: _target_state.TargetState) -> bool:
+        """Whether a target may be sent requests at all.
+
+        Load: targets that leave, whose address belongs to another one, or
+        that have asked this host to stay away.
+        """
+        return not (state.target.leaving or state.replaced or state.closed)
+
+    def has_open_target(self, service: ids.ServiceName) -> bool:
+        """Whether any target of a service may be sent requests."""
+        return any(
+            s.target.service == service and self.accepts_requests(s)
+            for s in self.states.values()
+        )
+
+    def reopens_in_s(self, service: ids.ServiceName) -> float | None:
+        """Return the time until the first closed target takes requests again.
+
+        None if no target of the service has asked this host to stay away.
+        """
+        now = time.monotonic()
+        return min(
+            (
+                s.closed_until - now
+                for s in self.states.values()
+                if s.target.service == service
+                and s.closed
+                and not (s.target.leaving or s.replaced)
+            ),
+            default=None,
+        )
+
     def min_version(self, model: str) -> ids.WeightsVersion:
         """Return the oldest version that a request may start on now."""
         cutoff = time.monotonic() - (self.version_bound_s - VERSION_MARGIN_S)
@@ -134,7 +182,7 @@
             s
             for s in self.states.values()
             if s.target.service == service
-            and not (s.target.leaving or s.replaced)
+            and self.accepts_requests(s)
             and not (s.ejected or s.switching)
             and (not engine or s.holds_weights)
         ]
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -10,6 +10,9 @@
 from zinniadyke.platform._records import HostRole
 from zinniadyke.platform._records import HostState
 from zinniadyke.platform._records import StoredObject
+from zinniadyke.platform._retry_after import parse_retry_after
+from zinniadyke.platform._revision import NO_ERA
+from zinniadyke.platform._revision import Revision
 from zinniadyke.platform._store import StoreClient
 from zinniadyke.platform._target_api import EngineReport
 from zinniadyke.platform._target_api import ManifestAnswer
@@ -21,6 +24,7 @@
 
 __all__ = [
     "HOSTS_KIND",
+    "NO_ERA",
     "EngineReport",
     "Host",
     "HostRole",
@@ -30,12 +34,14 @@
     "OriginClient",
     "PlatformClient",
     "Purpose",
+    "Revision",
     "StoreClient",
     "StoredObject",
     "compare_and_swap",
     "follow_configuration",
     "follow_targets",
     "follow_versions",
+    "parse_retry_after",
     "render_template",
     "update",
 ]
--- a/zinniadyke/platform/_client.py
+++ b/zinniadyke/platform/_client.py
@@ -8,6 +8,7 @@
 from zinniadyke import errors
 from zinniadyke.platform import _purpose
 from zinniadyke.platform import _records
+from zinniadyke.platform import _revision
 from zinniadyke.platform import _store
 from zinniadyke import telemetry
 
@@ -40,7 +41,14 @@
         )
         # For each watched key the revision that the caller has, and the one
         # up to which no newer change of the key exists.
-        self.watch_progress: dict[str, tuple[int, int]] = {}
+        self.watch_progress: dict[
+            str, tuple[_revision.Revision, _revision.Revision]
+        ] = {}
+
+    @property
+    def era(self) -> int:
+        """Newest era that the store has stated."""
+        return self.store.era
 
     def get(
         self, key: str, *, purpose: _purpose.Purpose
@@ -55,7 +63,7 @@
         self._count_call(purpose)
         kind, name = _split_key(key)
         answer = self.store.get_object(kind, name)
-        return _to_stored_object(key, answer) if answer else None
+        return self._to_stored_object(key, answer) if answer else None
 
     def put(
         self,
@@ -63,8 +71,8 @@
         value: bytes,
         *,
         purpose: _purpose.Purpose,
-        revision: int | None,
-    ) -> int:
+        revision: _revision.Revision | None,
+    ) -> _revision.Revision:
         """Write ``value`` if the record is at ``revision``.
 
         Parameters
@@ -76,13 +84,14 @@
 
         Returns
         -------
-        int
+        Revision
             The new revision.
 
         Raises
         ------
         ConflictError
-            The record is at another revision.
+            The record is at another revision, or the store was restored
+            since the record was read.
         PlatformError
             The write may or may not have taken effect.
         """
@@ -91,28 +100,47 @@
                 f"{key}: value of {len(value)} bytes exceeds the platform's"
                 f" limit of {MAX_VALUE_BYTES} bytes"
             )
+        if revision is not None and revision.era != self.era:
+            raise errors.ConflictError(
+                f"{key} was read before the store was restored"
+            )
         self._count_call(purpose)
         kind, name = _split_key(key)
         new_object = _store.StoreObject(
-            metadata=_store.ObjectMetadata(name=name, revision=revision or 0),
+            metadata=_store.ObjectMetadata(
+                name=name, revision=revision.number if revision else 0
+            ),
             spec=msgspec.Raw(msgspec.json.encode(value.decode())),
         )
         if revision is None:
             written = self.store.create_object(kind, new_object)
         else:
             written = self.store.replace_object(kind, new_object)
-        return written.metadata.revision
+        if revision is not None and revision.era != self.era:
+            raise errors.PlatformError(
+                f"{key} was written while the store was restored; the"
+                " condition may have matched another change"
+            )
+        return _revision.Revision(self.era, written.metadata.revision)
 
     def watch(
         self,
         key: str,
         *,
         purpose: _purpose.Purpose,
-        after: int,
+        after: _revision.Revision | None,
         wait_s: float,
     ) -> _records.StoredObject | None:
         """Return the record once newer than ``after``; None on timeout.
 
+        After the store was restored the record is returned in any case, as
+        its revisions before and after are not comparable.
+
+        Parameters
+        ----------
+        after
+            Revision of the record that the caller has; None if it has none.
+
         Raises
         ------
         PlatformError
@@ -120,17 +148,21 @@
         """
         self._count_call(purpose)
         kind, name = _split_key(key)
+        if after is None or after.era != self.era:
+            after = _revision.Revision(self.era, 0)
         caller_revision, checked_revision = self.watch_progress.get(
             key, (after, after)
         )
         if caller_revision != after:
             checked_revision = after
         try:
-            answer = self.store.watch(kind, max(checked_revision, 0), wait_s)
+            answer = self.store.watch(kind, checked_revision, wait_s)
         except _store.HistoryGoneError:
             listed = self.store.list_objects(kind)
             matches = [o for o in listed.objects if o.metadata.name == name]
             checked_revision = listed.revision
+            if after.era != self.era:
+                after = _revision.Revision(self.era, 0)
         else:
             matches = [
                 c.object
@@ -139,8 +171,8 @@
             ]
             if answer.changes:
                 checked_revision = answer.revision
-        if matches and matches[-1].metadata.revision > after:
-            return _to_stored_object(key, matches[-1])
+        if matches and matches[-1].metadata.revision > after.number:
+            return self._to_stored_object(key, matches[-1])
         self.watch_progress[key] = (after, checked_revision)
         return None
 
@@ -174,6 +206,16 @@
             ),
         )
 
+    def _to_stored_object(
+        self, key: str, answer: _store.StoreObject
+    ) -> _records.StoredObject:
+        text = _store.decode(answer.spec, str, key)
+        return _records.StoredObject(
+            key=key,
+            value=text.encode(),
+            revision=_revision.Revision(self.era, answer.metadata.revision),
+        )
+
     def _count_call(self, purpose: _purpose.Purpose) -> None:
         self.calls[purpose] += 1
         telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=purpose.value)
@@ -183,12 +225,3 @@
     """Return the kind and the name of the object at a key."""
     folder, _, name = key.rpartition("/")
     return KIND_PREFIX + folder.replace("/", "-"), name
-
-
-def _to_stored_object(
-    key: str, answer: _store.StoreObject
-) -> _records.StoredObject:
-    text = _store.decode(answer.spec, str, key)
-    return _records.StoredObject(
-        key=key, value=text.encode(), revision=answer.metadata.revision
-    )
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -5,6 +5,7 @@
 from zinniadyke import directory
 from zinniadyke.platform import _decode_configuration
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _revision
 from zinniadyke.platform import _store
 
 LOG = logging.getLogger(__name__)
@@ -33,6 +34,16 @@
         except ValueError as error:
             _log_unreadable(stored, error)
             return
+        present = view.configuration
+        if present is not None and decoded.version < present.version:
+            LOG.warning(
+                "older configuration ignored",
+                extra={
+                    "version": decoded.version,
+                    "in_force": present.version,
+                    "era": store.era,
+                },
+            )
         view.set_configuration(decoded)
 
     return _make_follower(store, CONFIGURATION_KIND, on_update)
@@ -52,6 +63,18 @@
                 )
             except ValueError as error:
                 _log_unreadable(stored, error)
+        for desired in desired_weights:
+            known = view.desired_weights.get(desired.model, 0)
+            if desired.version < known:
+                LOG.warning(
+                    "older version of weights ignored",
+                    extra={
+                        "model": desired.model,
+                        "version": desired.version,
+                        "desired": known,
+                        "era": store.era,
+                    },
+                )
         view.set_desired_weights(
             desired_weights, after_outage=follower.outage_just_ended
         )
@@ -108,11 +131,11 @@
 
 
 def _make_follower(store, kind, on_update, **options) -> directory.Follower:
-    def list_all() -> tuple[dict[str, _store.StoreObject], int]:
+    def list_all() -> tuple[dict[str, _store.StoreObject], _revision.Revision]:
         listed = store.list_objects(kind)
         return {o.metadata.name: o for o in listed.objects}, listed.revision
 
-    def wait_for_changes(revision: int, wait_s: float):
+    def wait_for_changes(revision: _revision.Revision, wait_s: float):
         answer = store.watch(kind, revision, wait_s)
         changes = [
             (c.object.metadata.name, None if c.removed else c.object)
@@ -126,6 +149,7 @@
         wait_for_changes=wait_for_changes,
         history_gone=_store.HistoryGoneError,
         on_update=on_update,
+        era=lambda: store.era,
         **options,
     )
 
--- a/zinniadyke/platform/_records.py
+++ b/zinniadyke/platform/_records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from zinniadyke import ids
+from zinniadyke.platform import _revision
 
 
 class HostRole(enum.Enum):
@@ -46,4 +47,4 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: _revision.Revision
--- /dev/null
+++ b/zinniadyke/platform/_retry_after.py
@@ -0,0 +1,38 @@
+"""Reads how long a server asks not to be called."""
+
+import logging
+import re
+
+LOG = logging.getLogger(__name__)
+
+# Longer requests are cut to this, as a server that names days is faulty.
+MAX_RETRY_AFTER_S = 300.0
+SECONDS = re.compile(r"\d{1,12}(\.\d*)?|\.\d+", re.ASCII)
+
+
+def parse_retry_after(text: str, server: str) -> float | None:
+    """Return the seconds in a Retry-After header; None if unreadable.
+
+    Parameters
+    ----------
+    text
+        Value of the header; empty if the answer has none.
+    server
+        Address of the server, for the log.
+    """
+    text = text.strip()
+    if not text:
+        return None
+    if not SECONDS.fullmatch(text):
+        LOG.warning(
+            "Retry-After unreadable, ignored",
+            extra={"address": server, "value": text[:40]},
+        )
+        return None
+    seconds = float(text)
+    if seconds > MAX_RETRY_AFTER_S:
+        LOG.warning(
+            "Retry-After cut to the longest one honoured",
+            extra={"address": server, "value": text, "s": MAX_RETRY_AFTER_S},
+        )
+    return min(seconds, MAX_RETRY_AFTER_S)
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -1,5 +1,6 @@
 """HTTP client of the users' metadata store: objects, lists and watches."""
 
+from collections.abc import Callable
 import http
 import logging
 from urllib import parse
@@ -8,6 +9,7 @@
 import urllib3
 
 from zinniadyke import errors
+from zinniadyke.platform import _revision
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -22,6 +24,7 @@
 # Time that a watch may take beyond its requested wait.
 WATCH_EXTRA_TIMEOUT_S = 0.6
 MS_PER_S = 1000
+ERA_HEADER = "Store-Era"
 JSON_HEADERS = {"Content-Type": "application/json"}
 SUCCESS = frozenset((http.HTTPStatus.OK, http.HTTPStatus.CREATED))
 NOT_FOUND = frozenset((http.HTTPStatus.NOT_FOUND,))
@@ -57,7 +60,7 @@
     """All objects of a kind at ``revision``."""
 
     objects: list[StoreObject]
-    revision: int
+    revision: _revision.Revision
 
 
 class ObjectChange(msgspec.Struct, kw_only=True):
@@ -71,19 +74,35 @@
     """Changes of a kind; continue the watch from ``revision``."""
 
     changes: list[ObjectChange]
-    revision: int
+    revision: _revision.Revision
 
 
 class HistoryGoneError(errors.PlatformError):
     """The store no longer has the changes after a revision."""
 
 
+class StoreRestoredError(HistoryGoneError):
+    """The store was restored, or an answer is from before a restoration."""
+
+
+class EraUnknownError(errors.PlatformError):
+    """An answer does not say its era although earlier ones did."""
+
+
 class _ListAnswer(msgspec.Struct):
     items: list[msgspec.Raw]
     current_rev: int
     has_more: bool = False
 
 
+class _ItemName(msgspec.Struct):
+    name: str
+
+
+class _NamedItem(msgspec.Struct):
+    metadata: _ItemName
+
+
 class _WatchAnswer(msgspec.Struct):
     events: list[msgspec.Raw]
     current_rev: int
@@ -103,6 +122,14 @@
         ``ip:port`` of the store.
     timeout_s
         Time limit of one call, in seconds; a watch may wait longer.
+
+    Attributes
+    ----------
+    era
+        Newest era that an answer stated; ``NO_ERA`` before the first.
+    on_restored
+        Functions that are called with the old and the new era when the
+        store has been restored.
     """
 
     def __init__(
@@ -110,6 +137,9 @@
     ) -> None:
         """Create the connection pool, which connects on first use."""
         self.timeout_s = timeout_s
+        self.era = _revision.NO_ERA
+        self.era_known = False
+        self.on_restored: list[Callable[[int, int], None]] = []
         host, _, port = address.rpartition(":")
         self.pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=MAX_CONNECTIONS, retries=False
@@ -158,11 +188,14 @@
 
         Raises
         ------
+        StoreRestoredError
+            The store was restored between two pages.
         PlatformError
             The store did not answer.
         """
         listed_objects: list[StoreObject] = []
         first_revision = None
+        after = ""
         query = ""
         while True:
             data = self._call("GET", _path(kind) + query).data
@@ -170,32 +203,41 @@
             # A watch from the revision of the first page also returns the
             # changes made between two pages.
             if first_revision is None:
-                first_revision = answer.current_rev
+                first_revision = _revision.Revision(
+                    self.era, answer.current_rev
+                )
+            self._check_era(first_revision)
             page = [_decode_item(raw, StoreObject) for raw in answer.items]
             listed_objects.extend(o for o in page if o is not None)
-            if not answer.has_more or not listed_objects:
+            last = _last_name(answer.items)
+            if not answer.has_more or last <= after:
                 return ObjectList(
                     objects=listed_objects, revision=first_revision
                 )
-            last = listed_objects[-1].metadata.name
+            after = last
             query = f"?after={parse.quote(last, safe='')}"
 
-    def watch(self, kind: str, revision: int, wait_s: float) -> ChangeList:
+    def watch(
+        self, kind: str, revision: _revision.Revision, wait_s: float
+    ) -> ChangeList:
         """Wait for changes of a kind after ``revision``.
 
         Raises
         ------
         HistoryGoneError
-            The store no longer has the changes; list the objects again.
+            The store no longer has the changes or was restored meanwhile;
+            list the objects again.
         PlatformError
             The store did not answer.
         """
+        self._check_era(revision)
         wait_ms = int(wait_s * MS_PER_S)
         data = self._call(
             "GET",
-            f"{_path(kind)}?watch={revision}&wait_ms={wait_ms}",
+            f"{_path(kind)}?watch={revision.number}&wait_ms={wait_ms}",
             timeout_s=wait_s + WATCH_EXTRA_TIMEOUT_S,
         ).data
+        self._check_era(revision)
         answer = decode(data, _WatchAnswer, "changes")
         events = [_decode_item(raw, _Event) for raw in answer.events]
         return ChangeList(
@@ -204,9 +246,63 @@
                 for e in events
                 if e is not None
             ],
-            revision=answer.current_rev,
+            revision=_revision.Revision(self.era, answer.current_rev),
         )
 
+    def _check_era(self, revision: _revision.Revision) -> None:
+        """Raise StoreRestoredError if a revision is of an earlier era."""
+        if revision.era != self.era:
+            raise StoreRestoredError(
+                f"revision {revision.number} of era {revision.era} is void,"
+                f" the store is in era {self.era}"
+            )
+
+    def _record_era(self, answer: urllib3.BaseHTTPResponse) -> None:
+        """Record the era of an answer; refuse one from an earlier era.
+
+        Raises
+        ------
+        StoreRestoredError
+            The answer is from an earlier era.
+        EraUnknownError
+            The answer has no readable era although earlier ones had.
+        """
+        stated = answer.headers.get(ERA_HEADER)
+        era = _revision.parse_era(stated)
+        if era is None:
+            if stated is not None:
+                LOG.warning(
+                    "era of the store unreadable", extra={"era": stated}
+                )
+            if self.era_known:
+                telemetry.count(
+                    telemetry.Metric.STORE_ANSWERS_DROPPED, label="no era"
+                )
+                raise EraUnknownError(
+                    f"answer without a readable era, expected {self.era}"
+                )
+            return
+        if era < self.era:
+            LOG.warning(
+                "answer of an earlier era of the store dropped",
+                extra={"era": era, "newest_era": self.era},
+            )
+            telemetry.count(
+                telemetry.Metric.STORE_ANSWERS_DROPPED, label="earlier era"
+            )
+            raise StoreRestoredError(
+                f"answer of era {era}, the store is in era {self.era}"
+            )
+        before, self.era = self.era, era
+        if self.era_known and era > before:
+            LOG.warning(
+                "store restored", extra={"era": era, "era_before": before}
+            )
+            telemetry.count(telemetry.Metric.STORE_RESTORED)
+            for callback in self.on_restored:
+                callback(before, era)
+        self.era_known = True
+
     def _write(
         self, method: str, path: str, wanted: StoreObject
     ) -> StoreObject:
@@ -247,6 +343,7 @@
         except urllib3.exceptions.HTTPError as error:
             telemetry.count(telemetry.Metric.PLATFORM_FAILURES, label="none")
             raise errors.PlatformError(f"{method} {path}: {error}")
+        self._record_era(answer)
         if answer.status == http.HTTPStatus.GONE:
             raise HistoryGoneError(
                 f"{method} {path}: the store no longer has the changes"
@@ -269,6 +366,16 @@
     return path if name is None else f"{path}/{parse.quote(name, safe='')}"
 
 
+def _last_name(items: list[msgspec.Raw]) -> str:
+    """Return the name of a page's last object; empty if none is readable."""
+    for raw in reversed(items):
+        try:
+            return msgspec.json.decode(raw, type=_NamedItem).metadata.name
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            continue
+    return ""
+
+
 def decode(data: bytes | msgspec.Raw, wanted, description: str):
     """Decode an answer; on failure replace invalid UTF-8 and try again.
 
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -5,6 +5,7 @@
 
 import http
 import re
+import time
 
 import msgspec
 import urllib3
@@ -12,6 +13,8 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _retry_after
+from zinniadyke.platform import headers as headers_of
 
 # The model server on the same host answers at once.
 LOCAL_TIMEOUT_S = 0.5
@@ -37,6 +40,8 @@
         Whether an order is in progress.
     born_ms
         Unix time of its start in milliseconds; 0 if unknown.
+    leaving
+        Whether this start of it has said in a report that it is leaving.
     """
 
     running: int
@@ -45,6 +50,7 @@
     order_in_progress: bool
     born_ms: int
     weights: dict[ids.ModelName, ids.WeightsVersion]
+    leaving: bool = False
 
 
 class _Report(msgspec.Struct):
@@ -96,7 +102,12 @@
 
     def __init__(self, *, address: str) -> None:
         """Create the connection pool, which connects on first use."""
+        self.address = address
         self.pool = _connection_pool(address, LOCAL_CONNECTIONS)
+        # Monotonic time until which the server wants no calls.
+        self.closed_until = float("-inf")
+        # Start of the server that said that it is leaving.
+        self.leaving_born_ms: int | None = None
 
     def report(self, layer_count: int) -> EngineReport:
         """Return the server's state.
@@ -111,6 +122,8 @@
             decoded = msgspec.json.decode(answer.data, type=_Report)
         except msgspec.MsgspecError as error:
             raise errors.EngineError(f"unreadable report: {error}")
+        if answer.headers.get(headers_of.LEAVING) == "1":
+            self.leaving_born_ms = decoded.born
         return EngineReport(
             running=decoded.running,
             waiting=decoded.waiting,
@@ -120,6 +133,7 @@
             weights=_decode_target.complete_versions(
                 decoded.models, decoded.layers, layer_count
             ),
+            leaving=self.leaving_born_ms == decoded.born,
         )
 
     def staged_pieces(self, model: str) -> set[int]:
@@ -211,6 +225,12 @@
             http.HTTPStatus.NO_CONTENT,
         ),
     ) -> urllib3.BaseHTTPResponse:
+        closed_s = self.closed_until - time.monotonic()
+        if closed_s > 0:
+            raise errors.EngineError(
+                f"{method} {path}: the server wants no calls for another"
+                f" {closed_s:.1f} s"
+            )
         try:
             answer = self.pool.request(
                 method,
@@ -223,6 +243,7 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise errors.EngineError(f"{method} {path}: {error}")
+        self.closed_until = _closed_until(answer, self.address)
         if answer.status not in allowed:
             raise errors.EngineError(
                 f"{method} {path}: status {answer.status}"
@@ -245,6 +266,8 @@
         """Create the connection pool, which connects on first use."""
         self.address = address
         self.connections = connections
+        # Monotonic time until which the origin wants no calls.
+        self.closed_until = float("-inf")
         self.pool = _connection_pool(address, connections)
 
     def manifest(self, model: str, version: int) -> ManifestAnswer:
@@ -296,6 +319,13 @@
         )
 
     def _get(self, path: str) -> bytes:
+        closed_s = self.closed_until - time.monotonic()
+        if closed_s > 0:
+            raise errors.WeightsError(
+                f"GET {path}: the origin wants no calls for another"
+                f" {closed_s:.1f} s",
+                code=errors.ResultCode.ORIGIN_UNAVAILABLE,
+            )
         try:
             answer = self.pool.request(
                 "GET",
@@ -309,6 +339,7 @@
                 f"GET {path}: {error}",
                 code=errors.ResultCode.ORIGIN_UNAVAILABLE,
             )
+        self.closed_until = _closed_until(answer, self.address)
         if answer.status == http.HTTPStatus.GONE:
             raise errors.WeightsError(
                 f"GET {path}: removed from the origin",
@@ -322,6 +353,16 @@
         return answer.data
 
 
+def _closed_until(answer: urllib3.BaseHTTPResponse, address: str) -> float:
+    """Return the monotonic time until which a server wants no calls."""
+    if answer.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return float("-inf")
+    seconds = _retry_after.parse_retry_after(
+        answer.headers.get(headers_of.RETRY_AFTER, ""), address
+    )
+    return time.monotonic() + seconds if seconds else float("-inf")
+
+
 def _connection_pool(
     address: str, connections: int
 ) -> urllib3.HTTPConnectionPool:
--- a/zinniadyke/platform/_update.py
+++ b/zinniadyke/platform/_update.py
@@ -9,6 +9,7 @@
 from zinniadyke.platform import _client
 from zinniadyke.platform import _purpose
 from zinniadyke.platform import _records
+from zinniadyke.platform import _revision
 
 RETRY_BASE_S = 0.05
 RETRY_MAX_S = 1.0
@@ -21,9 +22,9 @@
     value: bytes,
     *,
     purpose: _purpose.Purpose,
-    revision: int | None,
+    revision: _revision.Revision | None,
     deadline_s: float,
-) -> int:
+) -> _revision.Revision:
     """Write if the record is at ``revision``; resolve unknown outcomes.
 
     A write with an unknown outcome is repeated with the same condition. It
@@ -123,7 +124,7 @@
     value: bytes,
     *,
     purpose: _purpose.Purpose,
-) -> int:
+) -> _revision.Revision:
     for pause_s in backoff():
         try:
             stored = client.get(key, purpose=purpose)
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -21,6 +21,10 @@
 SIGNATURE = "x-zinniadyke-server-stamp"
 # Present if the target did not run the request.
 NOT_RUN = "x-zinniadyke-not-executed"
+# "1" in each answer of a target that is leaving.
+LEAVING = "server-leaving"
+# In a 503: seconds for which the target wants no request from this host.
+RETRY_AFTER = "retry-after"
 # Numbers of running requests, waiting requests and slots.
 TARGET_LOAD = "x-zinniadyke-server-load"
 # Version of the weights that generated the answer.
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -47,6 +47,8 @@
         Version of each model that it holds completely.
     named
         As in ``Subscribe``.
+    leaving
+        Whether the target said that it is leaving.
     """
 
     address: str
@@ -58,6 +60,7 @@
     switch_in_ms: int | None
     weights: dict[str, int]
     named: VersionAgesMs
+    leaving: bool = False
 
 
 class PieceQuery(
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -136,6 +136,7 @@
                 switch_in_ms=self._switch_in_ms(),
                 weights=report.weights,
                 named=self.view.desired_weights_ages_ms(),
+                leaving=report.leaving,
             )
         )
 
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -23,10 +23,17 @@
     CONFIG_REVISION = "config_revision"
     PLATFORM_CALLS = "platform_calls"
     PLATFORM_FAILURES = "platform_failures"
+    STORE_RESTORED = "store_restored"
+    # Answers of the store whose era is an earlier one or not stated.
+    STORE_ANSWERS_DROPPED = "store_answers_dropped"
     FIRST_PART_TIME = "first_part_time"
     ATTEMPTS = "attempts"
     # Ejections of targets that failed.
     TARGET_RESTS = "target_rests"
+    # Times that a target asked this host to stay away (Retry-After).
+    TARGETS_CLOSED = "targets_closed"
+    # Targets that said in an answer that they are leaving.
+    TARGETS_LEAVING = "targets_leaving"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
