Void what the product wrote in the lost past of a restored store

Cause: leases, permits, fences, claims and heads were taken at their word by revision or content. From a copy some seconds old a former holder renewed its lease under a fencing number that targets had passed, a released permit was valid again, a current agent was refused for good since the copy named its predecessor, a repeated key ran twice, and new changes got revisions that every process had passed and so never came into force.

The agent check comes before the fence check, as it reads the store's era.

--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -80,7 +80,7 @@
     # Same number, another era: the watch must not be believed.
     with pytest.raises(_store.StoreRestoredError):
         client.watch("versions", revision, 0.05)
-    assert client.list_objects("versions").revision.era == 2
+    assert client.list_objects("versions").revision.era == store.era
 
 
 def test_waiting_watch_ends_when_the_store_is_restored(store, client):
@@ -108,7 +108,7 @@
     revision = client.list_objects("servers").revision
     watch = eventlet.spawn(client.watch, "servers", revision, 2.0)
     eventlet.sleep(0.05)
-    client.era = 2
+    client.era += 1
     store.put("servers", "t1", {})
     with pytest.raises(_store.StoreRestoredError):
         watch.wait()
--- a/zinniadyke/agent/_fence.py
+++ b/zinniadyke/agent/_fence.py
@@ -1,5 +1,7 @@
 """Fencing against orders of former controllers and former agents."""
 
+import logging
+
 import msgspec
 
 from zinniadyke import control
@@ -7,6 +9,8 @@
 from zinniadyke import ids
 from zinniadyke import platform
 
+LOG = logging.getLogger(__name__)
+
 AGENT_PREFIX = "agent/"
 
 
@@ -52,12 +56,13 @@
         self.lease_key = control.lease_key(service)
         self.incarnation = incarnation
         self.highest_fence: int | None = None
-        self.registered = False
+        self.number: int | None = None
 
     def check_fencing_number(self, fence: ids.FencingNumber) -> None:
         """Refuse a fencing number below the highest one seen so far.
 
         Before the first order, the service's lease provides that number.
+        Numbers of an earlier era of the store are below those of the present.
 
         Raises
         ------
@@ -70,6 +75,9 @@
             self.highest_fence = control.lease_fence(
                 self.client, self.lease_key
             )
+        self.highest_fence = max(
+            self.highest_fence, control.first_fence(self.client.era)
+        )
         if fence < self.highest_fence:
             raise errors.OrderRefusedError(
                 f"fencing number is {fence}, expected at least"
@@ -83,29 +91,36 @@
 
         Raises
         ------
+        OrderRefusedError
+            A newer agent has registered.
         PlatformError
             The platform did not answer.
         """
 
-        def change(value: bytes | None) -> bytes:
+        def change(value: bytes | None) -> bytes | None:
             previous = _decode(value)
             if previous and previous.incarnation == self.incarnation:
+                self.number = previous.number
                 return None
-            record = AgentRecord(
-                number=previous.number + 1 if previous else 1,
-                incarnation=self.incarnation,
+            if previous and self._is_older_than(previous):
+                raise errors.OrderRefusedError(
+                    code=errors.ResultCode.STALE_INCARNATION
+                )
+            if self.number is None:
+                self.number = previous.number + 1 if previous else 1
+            return msgspec.json.encode(
+                AgentRecord(number=self.number, incarnation=self.incarnation)
             )
-            return msgspec.json.encode(record)
 
         platform.update(
             self.client, self.key, change, purpose=platform.Purpose.FENCE
         )
-        self.registered = True
 
     def check_agent_current(self) -> None:
         """Check that no newer agent has registered for the host.
 
-        The first call registers this agent.
+        The first call registers this agent. So does one that finds no record
+        or that of an earlier agent, as in a store that was restored.
 
         Raises
         ------
@@ -114,14 +129,25 @@
         PlatformError
             The platform did not answer.
         """
-        if not self.registered:
-            self.register()
         stored = self.client.get(self.key, purpose=platform.Purpose.FENCE)
         record = _decode(stored.value if stored else None)
-        if record is None or record.incarnation != self.incarnation:
+        if record is not None and record.incarnation == self.incarnation:
+            self.number = record.number
+            return
+        if record is not None and self._is_older_than(record):
             raise errors.OrderRefusedError(
                 code=errors.ResultCode.STALE_INCARNATION
             )
+        if self.number is not None:
+            LOG.warning(
+                "agent registered again, its record was gone",
+                extra={"host": self.host, "number": self.number},
+            )
+        self.register()
+
+    def _is_older_than(self, record: AgentRecord) -> bool:
+        """Whether a record names an agent that registered after this one."""
+        return self.number is not None and record.number >= self.number
 
     def check_permit(self, version: str) -> None:
         """Check that this agent has a permit to stop serving.
--- a/zinniadyke/agent/_order_executor.py
+++ b/zinniadyke/agent/_order_executor.py
@@ -120,8 +120,9 @@
             raise errors.OrderRefusedError(
                 code=errors.ResultCode.STALE_INCARNATION
             )
-        self.fence.check_fencing_number(order.fence)
+        # This reads the store, and so its era, which the fencing number needs.
         self.fence.check_agent_current()
+        self.fence.check_fencing_number(order.fence)
         self._check_wanted(order.version)
 
     def _check_wanted(self, version: str) -> None:
--- a/zinniadyke/control/__init__.py
+++ b/zinniadyke/control/__init__.py
@@ -9,6 +9,7 @@
 from zinniadyke.control._head import Head
 from zinniadyke.control._head import HEAD_KEY
 from zinniadyke.control._head import read_head
+from zinniadyke.control._lease import first_fence
 from zinniadyke.control._lease import Lease
 from zinniadyke.control._lease import lease_fence
 from zinniadyke.control._node import Node
@@ -37,6 +38,7 @@
     "RolloutProgress",
     "accept",
     "change_outcome",
+    "first_fence",
     "lease_fence",
     "lease_key",
     "load_configuration",
--- a/zinniadyke/control/_head.py
+++ b/zinniadyke/control/_head.py
@@ -93,6 +93,25 @@
         )
 
 
+def merge_after_restoration(known: Head, stored: Head) -> Head:
+    """Return the head that a restored store should hold.
+
+    Parameters
+    ----------
+    known
+        Newest head that was in force before the restoration.
+    stored
+        Head that the store holds now.
+    """
+    if stored.revision > known.revision:
+        return stored
+    last = stored.recent[-1] if stored.recent else None
+    if last is None or known.find_change(last.change_id) == last:
+        return known
+    # Changes were accepted after the copy that ``known`` does not contain.
+    return msgspec.structs.replace(stored, revision=known.revision + 1)
+
+
 def encode_document(value: msgspec.Struct) -> bytes:
     """Encode an object as a document, with sorted keys."""
     return msgspec.json.encode(value, order="sorted")
--- a/zinniadyke/control/_lease.py
+++ b/zinniadyke/control/_lease.py
@@ -17,6 +17,9 @@
 LEASE_EXPIRY_S = 6.0
 RENEW_INTERVAL_S = 2.0
 HOLDER_VALIDITY_S = 4.0
+# Fencing numbers of a later era of the store are higher than all earlier ones,
+# also those whose records were lost when it was restored.
+FENCES_PER_ERA = 1 << 32
 
 
 class LeaseRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +46,10 @@
     takes over once it has seen the record unchanged for
     ``LEASE_EXPIRY_S``, measured by the contender's monotonic clock.
 
+    A restored store may lack the latest holder. So no lease of an earlier era
+    is held or renewed; it is acquired again once it has expired as seen in
+    the new era.
+
     Parameters
     ----------
     key
@@ -64,25 +71,35 @@
         self.incarnation = incarnation
         self.fence = ids.FencingNumber(0)
         self.valid_until = 0.0
-        self.seen_revision = -1
+        self.seen_revision: platform.Revision | None = None
         self.seen_at = 0.0
+        self.era: int | None = None
+        self.restored_at = float("-inf")
 
     @property
     def held(self) -> bool:
         """Whether this process may act as the holder now."""
-        return time.monotonic() < self.valid_until
+        return (
+            time.monotonic() < self.valid_until and self.era == self.client.era
+        )
 
     def renew_or_acquire(self) -> None:
         """Renew the lease if this process holds it, or take an expired one."""
         started_at = time.monotonic()
         try:
             stored = self.client.get(self.key, purpose=platform.Purpose.LEASE)
+            self._record_era()
             record = _decode(stored)
-            if record and record.incarnation == self.incarnation:
+            if (
+                record
+                and record.incarnation == self.incarnation
+                and record.fence >= first_fence(self.era)
+            ):
                 self._write(record, stored.revision, record.fence, started_at)
             elif self._is_expired(stored):
                 fence = record.fence if record else 0
                 revision = stored.revision if stored else None
+                fence = max(fence, self.fence, first_fence(self.era))
                 self._write(record, revision, fence + 1, started_at)
         except errors.ConflictError:
             self.valid_until = 0.0
@@ -98,10 +115,23 @@
             self.renew_or_acquire()
             eventlet.sleep(RENEW_INTERVAL_S * random.uniform(0.8, 1.0))
 
+    def _record_era(self) -> None:
+        """Give the lease up if the store was restored."""
+        before, self.era = self.era, self.client.era
+        if before in (None, self.era):
+            return
+        self.restored_at = time.monotonic()
+        if self.valid_until > self.restored_at:
+            LOG.warning(
+                "lease given up, the store was restored",
+                extra={"lease": self.key, "era": self.era},
+            )
+        self.valid_until = 0.0
+
     def _is_expired(self, stored: platform.StoredObject | None) -> bool:
-        if stored is None:
-            return True
         now = time.monotonic()
+        if stored is None:
+            return now - self.restored_at >= LEASE_EXPIRY_S
         if stored.revision != self.seen_revision:
             self.seen_revision = stored.revision
             self.seen_at = now
@@ -131,10 +161,17 @@
         self.valid_until = started_at + HOLDER_VALIDITY_S
 
 
+def first_fence(era: int) -> ids.FencingNumber:
+    """Return a number above all fencing numbers of earlier eras."""
+    return ids.FencingNumber(era * FENCES_PER_ERA)
+
+
 def lease_fence(
     client: platform.PlatformClient, key: str
 ) -> ids.FencingNumber:
-    """Read the current fencing number of a lease, 0 if it was never held.
+    """Read the current fencing number of a lease.
+
+    If it was never held in the store's era, that of the era's start.
 
     Raises
     ------
@@ -143,7 +180,8 @@
     """
     stored = client.get(LEASE_PREFIX + key, purpose=platform.Purpose.FENCE)
     record = _decode(stored)
-    return record.fence if record else ids.FencingNumber(0)
+    floor = first_fence(client.era)
+    return max(record.fence, floor) if record else floor
 
 
 def _decode(stored: platform.StoredObject | None) -> LeaseRecord | None:
--- a/zinniadyke/control/_permits.py
+++ b/zinniadyke/control/_permits.py
@@ -30,11 +30,15 @@
     ----------
     fence
         Highest fencing number that has written the record.
+    era
+        Era of the store in which the permits were granted; in a later one,
+        after a restoration, they are void.
     out
         Permit of each host that may be out of service.
     """
 
     fence: int = 0
+    era: int = platform.NO_ERA
     out: dict[str, Permit] = {}
 
 
@@ -105,7 +109,7 @@
         """
 
         def change(value: bytes | None) -> bytes | None:
-            present = _decode(value)
+            present = _valid_permits(value, self.client.era)
             if present.fence > fence:
                 return None
             out = {
@@ -119,7 +123,7 @@
                 serving = len(known - down - out.keys())
                 if host in out or serving > floor:
                     out[host] = permit
-            result = Permits(fence=int(fence), out=out)
+            result = Permits(fence=int(fence), era=self.client.era, out=out)
             return None if result == present else msgspec.json.encode(result)
 
         stored = platform.update(
@@ -128,7 +132,9 @@
             change,
             purpose=platform.Purpose.PERMIT,
         )
-        return _decode(stored.value if stored else None)
+        return _valid_permits(
+            stored.value if stored else None, self.client.era
+        )
 
 
 def read_permit(
@@ -146,10 +152,15 @@
     stored = client.get(
         PERMIT_PREFIX + service, purpose=platform.Purpose.PERMIT
     )
-    return _decode(stored.value if stored else None).out.get(host)
+    permits = _valid_permits(stored.value if stored else None, client.era)
+    return permits.out.get(host)
 
 
-def _decode(value: bytes | None) -> Permits:
+def _valid_permits(value: bytes | None, era: int) -> Permits:
+    """Decode permits without those of an earlier era of the store."""
     if value is None:
-        return Permits()
-    return msgspec.json.decode(value, type=Permits)
+        return Permits(era=era)
+    permits = msgspec.json.decode(value, type=Permits)
+    if permits.era == era:
+        return permits
+    return Permits(fence=permits.fence, era=era)
--- a/zinniadyke/control/_sync.py
+++ b/zinniadyke/control/_sync.py
@@ -30,6 +30,8 @@
 HOSTS_POLL_INTERVAL_S = 1.0
 WATCH_TIMEOUT_S = 10.0
 RETRY_DELAY_S = 0.2
+# Time limit of each write after the store was restored.
+REWRITE_DEADLINE_S = 5.0
 
 
 class Syncer:
@@ -69,6 +71,10 @@
         self.hosts_digest = ""
         self.is_watcher = False
         self.platform_revision: platform.Revision | None = None
+        # Newest head that this process has read from the platform.
+        self.head: _head.Head | None = None
+        self.check_head = False
+        client.store.on_restored.append(self._on_restored)
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
@@ -172,7 +178,13 @@
             self.set_hosts(reply.hosts)
         return True
 
+    def _on_restored(self, era_before: int, era: int) -> None:
+        self.check_head = True
+
     def _watch_head(self) -> None:
+        if self.check_head:
+            self._restore_head()
+            self.check_head = False
         stored = self.client.watch(
             _head.HEAD_KEY,
             purpose=platform.Purpose.CONFIGURATION,
@@ -184,8 +196,47 @@
         head = _head.decode_head(stored.value)
         if head.revision > self.store.revision:
             self.store.install(self._build_delta(head))
+        if self.head is None or head.revision >= self.head.revision:
+            self.head = head
         self.platform_revision = stored.revision
 
+    def _restore_head(self) -> None:
+        """Write the accepted changes again that a restored store lacks.
+
+        If operators have had other changes accepted there meanwhile, those
+        stay; the head gets a revision above all that was in force, so that
+        every process follows it.
+        """
+        if self.head is None:
+            return
+        stored = _head.read_head(self.client)
+        head = _head.merge_after_restoration(self.head, stored.head)
+        if head == stored.head:
+            return
+        lost = head.recent != self.head.recent
+        for key, digest in head.objects.items():
+            document = self.store.documents.get(key)
+            if document and _head.document_digest(document) == digest:
+                _head.write_document(self.client, document, REWRITE_DEADLINE_S)
+        platform.compare_and_swap(
+            self.client,
+            _head.HEAD_KEY,
+            msgspec.json.encode(head),
+            purpose=platform.Purpose.CONFIGURATION,
+            revision=stored.platform_revision,
+            deadline_s=REWRITE_DEADLINE_S,
+        )
+        LOG.warning(
+            "changes accepted before the store was restored are lost"
+            if lost
+            else "configuration written again after the store was restored",
+            extra={
+                "revision": head.revision,
+                "revision_in_copy": stored.head.revision,
+                "era": self.client.era,
+            },
+        )
+
     def _build_delta(self, head: _head.Head) -> peers.Delta:
         changed = {}
         for key, digest in head.objects.items():
--- a/zinniadyke/fakes/_store.py
+++ b/zinniadyke/fakes/_store.py
@@ -48,7 +48,7 @@
         self.writes = 0
         self.revision = 1
         self.oldest_revision = 1
-        self.era: int | str | None = 1
+        self.era: int | str | None = 0
         self.objects: dict[str, dict[str, dict]] = {}
         self.changes: list[tuple[int, str, dict, bool]] = []
         self.changed = event.Event()
