Large services: entries use a part of the targets

Counted: each of 102 to 120 agents reports to each of 35 entries ten times a second, and an entry scans all targets for each report; every heartbeat of a target (106 a second) makes every entry decode all registrations again and rebuild its tables.

Change: gateway/_interest.py (own region and two targets of each other region), reports found by address, registrations decoded once, lists that did not change applied to nothing, changes gathered for 0.15 of drain_ms; the holders of a version are kept, not worked out for each piece; piece reports at most 150 a second. The retry budget counts entries by region. An agent that no entry subscribes to reads the versions every 2 s.

Services of up to 48 targets are used whole, as before.

--- a/tests/sidecar/test_piece_selection.py
+++ b/tests/sidecar/test_piece_selection.py
@@ -86,7 +86,7 @@
         if me is lost:
             continue
         found = swarm(me)
-        found.unreachable.add(lost.host_ip)
+        found.set_unreachable(lost.host_ip, True)
         new_readers.update(n for n in pieces if found.is_origin_reader(n))
     assert sorted(new_readers) == pieces
     assert set(new_readers.values()) == {1}
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -40,6 +40,9 @@
     watches_versions
         Whether this process watches the store for desired versions and so
         observes a new one at once.
+    listed_targets
+        Targets as they were last listed; ``targets`` also has what targets
+        said of themselves. None before the first list.
     leaving
         Incarnations of targets that are known to leave. A start of a target
         that leaves never takes requests again, whatever is listed later.
@@ -51,6 +54,7 @@
         """Start without any data."""
         self.configuration: _configuration.ServingConfiguration | None = None
         self.targets: dict[ids.TargetId, _target.Target] | None = None
+        self.listed_targets: dict[ids.TargetId, _target.Target] | None = None
         self.desired_weights: dict[ids.ModelName, ids.WeightsVersion] = {}
         self.desired_since: dict[
             ids.ModelName, dict[ids.WeightsVersion, float]
@@ -88,6 +92,7 @@
     def set_targets(self, targets: dict[ids.TargetId, _target.Target]) -> None:
         """Replace the list of targets."""
         old = self.targets or {}
+        self.listed_targets = targets
         for target in targets.values():
             if target.leaving:
                 self._remember_leaving(target)
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -4,6 +4,9 @@
 only once is resent only after proof that it has not run.
 """
 
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
 import logging
 import math
 import time
@@ -14,6 +17,7 @@
 from zinniadyke.gateway import _attempt
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_connection
+from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -29,6 +33,8 @@
 # The retry budget is divided by at least this many entries, also while fewer
 # are known.
 MIN_ENTRIES = 5
+# Interval between counts of the entries.
+ENTRIES_COUNT_INTERVAL_S = 0.5
 # Targets tried for one request while none accepts a connection.
 MAX_PLACEMENTS = 4
 
@@ -41,6 +47,8 @@
     zone_penalty
         Returns the penalty for sending a request to an availability zone,
         as a number of requests in flight.
+    regions
+        Region of each availability zone.
     """
 
     def __init__(
@@ -49,6 +57,7 @@
         view: directory.View,
         target_table: _target_table.TargetTable,
         zone_penalty,
+        regions: Mapping[str, str],
         bounds: settings.BoundsSection,
     ) -> None:
         """Admit waiting requests whenever the directory changes."""
@@ -56,6 +65,9 @@
         self.view = view
         self.target_table = target_table
         self.zone_penalty = zone_penalty
+        self.regions = regions
+        self.entry_count = MIN_ENTRIES
+        self.entries_counted_at = float("-inf")
         self.admissions: dict[ids.ServiceName, _admission.Admission] = {}
         self.budgets: dict[ids.ServiceName, requests.RetryBudget] = {}
         view.on_change.append(self.admit_waiting)
@@ -78,6 +90,7 @@
         admission = self._admission(call.service)
         self._budget(call.service).deposit()
         relay = _response_relay.ResponseRelay(call=call, caller=caller)
+        relay.can_resume = self._can_resume
         first = attempt = None
         while True:
             try:
@@ -207,6 +220,12 @@
             telemetry.count(telemetry.Metric.ATTEMPTS_REPEATED)
         return allowed
 
+    def _can_resume(self, call: _call.Call) -> bool:
+        """Whether the budget and the targets allow another attempt."""
+        return self._budget(call.service).balance >= 1 and bool(
+            self.target_table.candidates(call.service, call.model, call.tried)
+        )
+
     def _admission(self, service: ids.ServiceName) -> _admission.Admission:
         if service not in self.admissions:
             self.admissions[service] = _admission.Admission(
@@ -229,10 +248,45 @@
 
     def _entry_count(self) -> int:
         """Return how many entries share the budget, as agents report."""
-        entry_counts = (
-            state.entries for state in self.target_table.states.values()
+        now = time.monotonic()
+        if now > self.entries_counted_at + ENTRIES_COUNT_INTERVAL_S:
+            self.entries_counted_at = now
+            self.entry_count = max(
+                MIN_ENTRIES,
+                count_entries(self.target_table.states.values(), self.regions),
+            )
+        return self.entry_count
+
+
+def count_entries(
+    states: Iterable[_target_state.TargetState], regions: Mapping[str, str]
+) -> int:
+    """Return the number of entries in all regions, as agents report.
+
+    Entries use all targets of their region, or the same number of them, so
+    a target's local entries tell how many its region has. Load: the retry
+    budget is shared by all entries, though each knows a part of the targets.
+    """
+    most_entries = 0
+    local_entries: dict[str, int] = {}
+    target_counts: collections.Counter[str] = collections.Counter()
+    for state in states:
+        region = regions.get(state.target.zone, "")
+        most_entries = max(most_entries, state.entries)
+        target_counts[region, state.target.service] += 1
+        local_entries[region] = max(
+            local_entries.get(region, 0), state.local_entries
+        )
+    total = 0
+    for region, count in local_entries.items():
+        targets = max(
+            n for (name, _), n in target_counts.items() if name == region
+        )
+        # In a region of more targets each sees a part of its entries.
+        total += math.ceil(
+            count * max(1.0, targets / _interest.MAX_OWN_TARGETS)
         )
-        return max(MIN_ENTRIES, *entry_counts, MIN_ENTRIES)
+    return max(total, most_entries)
 
 
 def _ms_since(moment: float) -> int:
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """The gateway process on an entry host of the users' platform."""
 
+import functools
 import logging
 import math
 import time
@@ -14,6 +15,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _caller_wait
 from zinniadyke.gateway import _forward
+from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _request
@@ -40,6 +42,9 @@
 ACCEPT_RETRY_S = 0.05
 NOT_READY_RETRY_S = 0.3
 MS_PER_S = 1000.0
+# Part of the time to notice a leaving target for which changes of
+# registrations are gathered, as every call to the store has a price.
+TARGETS_BATCH_SHARE = 0.15
 WSGI_LOG = logging.getLogger("zinniadyke.gateway.wsgi")
 WSGI_LOG.propagate = False
 WSGI_LOG.addHandler(logging.NullHandler())
@@ -57,22 +62,36 @@
         self.store = platform.StoreClient(address=loaded.store.address)
         self.followers = [
             platform.follow_configuration(self.store, self.view),
-            platform.follow_targets(self.store, self.view),
+            platform.follow_targets(
+                self.store,
+                self.view,
+                batch_window_s=TARGETS_BATCH_SHARE
+                * loaded.bounds.drain_ms
+                / MS_PER_S,
+            ),
             platform.follow_versions(self.store, self.view),
         ]
+        regions = {r.zone: r.region for r in loaded.host.regions}
         self.target_table = _target_table.TargetTable(
             view=self.view,
             version_bound_s=loaded.bounds.version_ms / MS_PER_S,
+            select_targets=functools.partial(
+                _interest.select_targets,
+                entry=loaded.host.name,
+                region=loaded.host.region,
+                regions=regions,
+            ),
         )
-        regions = {r.zone: r.region for r in loaded.host.regions}
         self.forwarder = _forward.Forwarder(
             view=self.view,
             target_table=self.target_table,
             zone_penalty=_placement.zone_penalties(loaded.host.zone, regions),
+            regions=regions,
             bounds=loaded.bounds,
         )
         self.load_listener = _load_listener.LoadListener(
             name=loaded.host.name,
+            region=loaded.host.region,
             ip=loaded.host.ip,
             port=loaded.host.ports[0],
             view=self.view,
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -45,6 +45,7 @@
         self,
         *,
         name: str,
+        region: str,
         ip: str,
         port: int,
         view: directory.View,
@@ -53,6 +54,7 @@
     ) -> None:
         """Bind the socket and watch for new desired versions."""
         self.name = name
+        self.region = region
         self.port = port
         self.view = view
         self.target_table = target_table
@@ -64,14 +66,16 @@
         view.on_change.append(self._on_view_change)
 
     def subscribe(self) -> None:
-        """Subscribe to the reports of all agents, periodically and forever."""
+        """Subscribe to the reports of the agents of used targets, forever."""
         while True:
             message = reports.encode(
                 reports.Subscribe(
-                    entry=self.name, named=self.view.desired_weights_ages_ms()
+                    entry=self.name,
+                    named=self.view.desired_weights_ages_ms(),
+                    region=self.region,
                 )
             )
-            for host_ip in self._agent_host_ips():
+            for host_ip in sorted(self.target_table.used_hosts()):
                 try:
                     self.sock.sendto(message, (host_ip, self.port))
                 except OSError as error:
@@ -104,13 +108,12 @@
     def _apply_report(self, report: reports.LoadReport) -> None:
         reports.learn_desired_weights(self.view, report.named)
         leaving = []
-        for state in self.target_table.states.values():
+        for state in self.target_table.by_address.get(report.address, ()):
             target = state.target
-            if target.address != report.address:
-                continue
             if _starts_differ(report.born_ms, target.born_ms):
                 continue
             state.entries = max(report.entries, 1)
+            state.local_entries = report.local_entries
             state.record_load(report.running, report.waiting)
             state.switching = report.switching
             state.switches_at = (
@@ -125,19 +128,6 @@
         for target in leaving:
             self.view.mark_leaving(target, source="agent")
 
-    def _agent_host_ips(self) -> list[str]:
-        configuration = self.view.configuration
-        if configuration is None:
-            return []
-        return sorted(
-            {
-                target.host_ip
-                for target in (self.view.targets or {}).values()
-                if (found := configuration.services.get(target.service))
-                and found.engine is not None
-            }
-        )
-
 
 def _starts_differ(one_ms: int, other_ms: int) -> bool:
     """Whether two start times differ; 0 is an unknown one."""
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -35,6 +35,8 @@
         recent than the registration. None before the first report.
     entries
         Number of entries that send requests to the target.
+    local_entries
+        Number of those in the target's region.
     slot_share
         Part of the slots free at the last report that this entry may use.
     switching
@@ -57,6 +59,7 @@
         self.in_flight_at_report = 0
         self.reported_at = float("-inf")
         self.entries = 1
+        self.local_entries = 0
         self.slot_share = 0
         self.weights: dict | None = None
         self.switching = False
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -1,5 +1,6 @@
 """Table of the targets known to an entry, with their load and health."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import logging
 import time
@@ -26,14 +27,36 @@
     version_bound_s
         Time after a version becomes the desired one until no request may
         start on older weights, in seconds.
+    select_targets
+        Returns those targets of a service with engines that this entry
+        uses; the others serve only while none of these does.
+
+    Attributes
+    ----------
+    used
+        States of the targets of each service that this entry uses.
+    by_address
+        States of all targets by address; after a restart of a target there
+        may be two.
     """
 
     def __init__(
-        self, *, view: directory.View, version_bound_s: float
+        self,
+        *,
+        view: directory.View,
+        version_bound_s: float,
+        select_targets: Callable[
+            [list[directory.Target]], list[directory.Target]
+        ] = lambda targets: targets,
     ) -> None:
         """Load the targets of the directory and follow its changes."""
         self.view = view
         self.version_bound_s = version_bound_s
+        self.select_targets = select_targets
+        self.used: dict[ids.ServiceName, list[_target_state.TargetState]] = {}
+        self.by_address: dict[str, list[_target_state.TargetState]] = {}
+        self.indexed_targets: dict | None = None
+        self.indexed_services: dict | None = None
         self.states: dict[ids.TargetId, _target_state.TargetState] = {}
         # Until when a start of a target that is no longer listed wants no
         # request; it may be listed again meanwhile.
@@ -44,6 +67,14 @@
     def refresh(self) -> None:
         """Apply the directory's targets; a restarted one gets a new state."""
         targets = self.view.targets or {}
+        configuration = self.view.configuration
+        services = configuration.services if configuration else {}
+        if (
+            targets is self.indexed_targets
+            and services is self.indexed_services
+        ):
+            return
+        self.indexed_targets, self.indexed_services = targets, services
         for name in self.states.keys() - targets.keys():
             self._remember_closed(self.states.pop(name))
         latest_start_ms = _latest_starts_ms(targets.values())
@@ -62,6 +93,35 @@
             self.states[name].outdated = (
                 0 < target.born_ms < latest_start_ms[target.address]
             )
+        self._index()
+
+    def _index(self) -> None:
+        self.by_address = {}
+        by_service: dict[ids.ServiceName, list[directory.Target]] = {}
+        for state in self.states.values():
+            target = state.target
+            self.by_address.setdefault(target.address, []).append(state)
+            by_service.setdefault(target.service, []).append(target)
+        self.used = {
+            service: [
+                self.states[t.id]
+                for t in (
+                    self.select_targets(targets)
+                    if self.has_engine(service)
+                    else targets
+                )
+            ]
+            for service, targets in by_service.items()
+        }
+
+    def used_hosts(self) -> set[str]:
+        """Return the hosts of the engines that this entry uses."""
+        return {
+            state.target.host_ip
+            for service, states in self.used.items()
+            if self.has_engine(service)
+            for state in states
+        }
 
     def _remember_closed(self, state: _target_state.TargetState) -> None:
         now = time.monotonic()
@@ -91,20 +151,43 @@
         # Without an engine, targets hold no weights and serve any request.
         holds_weights = self.has_engine(service)
         least = self.min_version(model) if holds_weights else 0
-        found = [
+        used = self.used.get(service, [])
+        found = self._able_targets(used, model, tried, least, holds_weights)
+        if not found:
+            found = self._able_targets(
+                [
+                    s
+                    for s in self.states.values()
+                    if s.target.service == service
+                ],
+                model,
+                tried,
+                least,
+                holds_weights,
+            )
+        available_targets = [
+            s for s in found if not s.ejected and not s.switching
+        ]
+        return available_targets or [s for s in found if not s.switching]
+
+    def _able_targets(
+        self,
+        states: list[_target_state.TargetState],
+        model: str,
+        tried: list[ids.TargetId],
+        least: int,
+        holds_weights: bool,
+    ) -> list[_target_state.TargetState]:
+        """Return those of some targets that may run a request."""
+        return [
             state
-            for state in self.states.values()
-            if state.target.service == service
-            and self.accepts_requests(state)
+            for state in states
+            if self.accepts_requests(state)
             and state.target.id not in tried
             and (
                 not holds_weights or state.held_version(model) >= max(least, 1)
             )
         ]
-        available_targets = [
-            s for s in found if not s.ejected and not s.switching
-        ]
-        return available_targets or [s for s in found if not s.switching]
 
     def accepts_requests(self, state: _target_state.TargetState) -> bool:
         """Whether a target may be sent requests at all.
@@ -180,16 +263,18 @@
         engine = self.has_engine(service)
         return [
             s
-            for s in self.states.values()
-            if s.target.service == service
-            and self.accepts_requests(s)
+            for s in self.used.get(service, [])
+            if self.accepts_requests(s)
             and not (s.ejected or s.switching)
             and (not engine or s.holds_weights)
         ]
 
     def has_engine(self, service: ids.ServiceName) -> bool:
         """Whether a service's targets run models."""
-        found = self.view.configuration.services.get(service)
+        configuration = self.view.configuration
+        if configuration is None:
+            return False
+        found = configuration.services.get(service)
         return found is not None and found.engine is not None
 
 
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -14,8 +14,7 @@
 CONFIGURATION_NAME = "main"
 TARGETS_KIND = "servers"
 # Each heartbeat of a target changes its registration, so a pause after each
-# call lets the next return many changes. The delay is safe: a leaving target
-# may get requests for some seconds more (drain_ms of the operators' bounds).
+# call lets the next return many changes.
 TARGETS_BATCH_WINDOW_S = 0.3
 VERSIONS_KIND = "versions"
 
@@ -84,31 +83,49 @@
 
 
 def follow_targets(
-    store: _store.StoreClient, view: directory.View
+    store: _store.StoreClient,
+    view: directory.View,
+    *,
+    batch_window_s: float = TARGETS_BATCH_WINDOW_S,
 ) -> directory.Follower:
-    """Return a follower that sets the view's targets."""
+    """Return a follower that sets the view's targets.
+
+    Parameters
+    ----------
+    batch_window_s
+        Pause after each batch of changes, in seconds.
+    """
     applied_layers: dict[str, int] = {}
+    # Decoded form of each registration; most change by heartbeats of others.
+    decoded: dict[str, tuple[_store.StoreObject, directory.Target | None]] = {}
 
     def on_update(objects: dict[str, _store.StoreObject]) -> None:
         layers = _layer_counts(view)
+        if layers != applied_layers:
+            decoded.clear()
         applied_layers.clear()
         applied_layers.update(layers)
-        targets = {}
-        for stored in objects.values():
-            try:
-                target = _decode_target.decode_target(stored, layers)
-            except ValueError as error:
-                _log_unreadable(stored, error)
-                continue
-            targets[target.id] = target
-        view.set_targets(targets)
+        for name in decoded.keys() - objects.keys():
+            del decoded[name]
+        for name, stored in objects.items():
+            known = decoded.get(name)
+            if known is None or known[0] is not stored:
+                decoded[name] = (stored, _decode_target_or_log(stored, layers))
+        targets = {
+            target.id: target
+            for _, target in decoded.values()
+            if target is not None
+        }
+        # Most changes are heartbeats, which change nothing here.
+        if targets != view.listed_targets:
+            view.set_targets(targets)
 
     follower = _make_follower(
         store,
         TARGETS_KIND,
         on_update,
         keep_lapsed=True,
-        batch_window_s=TARGETS_BATCH_WINDOW_S,
+        batch_window_s=batch_window_s,
     )
 
     def recheck_layers() -> None:
@@ -120,6 +137,16 @@
     return follower
 
 
+def _decode_target_or_log(
+    stored: _store.StoreObject, layers: dict[str, int]
+) -> directory.Target | None:
+    try:
+        return _decode_target.decode_target(stored, layers)
+    except ValueError as error:
+        _log_unreadable(stored, error)
+        return None
+
+
 def _layer_counts(view: directory.View) -> dict[str, int]:
     if view.configuration is None:
         return {}
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -20,10 +20,13 @@
     named
         Time since the sender observed each version of a model as desired,
         in ms; None if unknown.
+    region
+        Region of the entry; empty if it does not say.
     """
 
     entry: str
     named: VersionAgesMs
+    region: str = ""
 
 
 class LoadReport(
@@ -49,6 +52,8 @@
         As in ``Subscribe``.
     leaving
         Whether the target said that it is leaving.
+    local_entries
+        Number of the subscribed entries in the target's region.
     """
 
     address: str
@@ -61,6 +66,7 @@
     weights: dict[str, int]
     named: VersionAgesMs
     leaving: bool = False
+    local_entries: int = 0
 
 
 class PieceQuery(
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -66,6 +66,9 @@
     version_ms
         Time after a new version is named until no request may start on older
         weights, in milliseconds.
+    drain_ms
+        Time after a target is known to leave until no request may reach it,
+        in milliseconds.
     grace_s
         Time from SIGTERM to SIGKILL, in seconds.
     retry_ratio, retry_extra
@@ -75,6 +78,7 @@
     """
 
     version_ms: float = 8000.0
+    drain_ms: float = 2000.0
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_extra: float = 0.0
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -56,6 +56,7 @@
         *,
         ip: str,
         port: int,
+        region: str,
         address: str,
         target: platform.ModelServerClient,
         view: directory.View,
@@ -67,7 +68,10 @@
         self.latest: platform.EngineReport | None = None
         self.on_serving: Callable[[bool], None] = lambda is_serving: None
         self.switch_in_s: Callable[[], float | None] = lambda: None
+        self.region = region
         self.subscribers: dict[tuple[str, int], float] = {}
+        # Subscribers in this region, or in one that they do not name.
+        self.local_subscribers: set[tuple[str, int]] = set()
         self.last_sent: reports.LoadReport | None = None
         self.last_sent_at = float("-inf")
         self.consecutive_failures = 0
@@ -97,6 +101,8 @@
         self, message: reports.Subscribe, sender: tuple[str, int]
     ) -> None:
         self.subscribers[sender] = time.monotonic()
+        if message.region in ("", self.region):
+            self.local_subscribers.add(sender)
         reports.learn_desired_weights(self.view, message.named)
 
     def run(self) -> None:
@@ -137,6 +143,7 @@
                 weights=report.weights,
                 named=self.view.desired_weights_ages_ms(),
                 leaving=report.leaving,
+                local_entries=len(self.local_subscribers),
             )
         )
 
@@ -158,6 +165,7 @@
         for sender, subscribed_at in list(self.subscribers.items()):
             if now > subscribed_at + SUBSCRIPTION_TIMEOUT_S:
                 del self.subscribers[sender]
+                self.local_subscribers.discard(sender)
                 continue
             try:
                 self.sock.sendto(data, sender)
--- a/zinniadyke/sidecar/_piece_exchange.py
+++ b/zinniadyke/sidecar/_piece_exchange.py
@@ -19,6 +19,9 @@
 
 # Pieces that arrive within this interval are reported together.
 REPORT_INTERVAL_S = 0.1
+# Reports that an agent sends at most; with more subscribers they come in
+# longer intervals.
+MAX_REPORTS_PER_S = 150.0
 # Interval between queries; peers answer each at once.
 QUERY_INTERVAL_S = 0.4
 # A peer that has sent no query for this long gets no more reports.
@@ -102,7 +105,7 @@
         while True:
             if not self.subscribers:
                 self.queried.wait(SUBSCRIPTION_TIMEOUT_S)
-            eventlet.sleep(REPORT_INTERVAL_S)
+            eventlet.sleep(report_interval_s(len(self.subscribers)))
             now = time.monotonic()
             for sender, (query, queried_at) in list(self.subscribers.items()):
                 if now > queried_at + SUBSCRIPTION_TIMEOUT_S:
@@ -179,3 +182,12 @@
                 "cannot send datagram",
                 extra={"host": to[0], "reason": str(error)},
             )
+
+
+def report_interval_s(subscribers: int) -> float:
+    """Return the interval between reports to some subscribers, in seconds.
+
+    Load: in a large region every agent reports to every other one while a
+    version is fetched, which grows with the square of the region.
+    """
+    return max(REPORT_INTERVAL_S, subscribers / MAX_REPORTS_PER_S)
--- a/zinniadyke/sidecar/_piece_selection.py
+++ b/zinniadyke/sidecar/_piece_selection.py
@@ -79,6 +79,8 @@
         replaces them.
     incomplete
         Hosts of agents that reported fewer than all pieces.
+    holders
+        Reachable agents registered with the version and not incomplete.
     origin_readers
         For each piece, hosts in the order in which they are responsible for
         reading it from the origin.
@@ -94,16 +96,17 @@
         self.count = count
         self.unreachable: set[str] = set()
         self.incomplete: set[str] = set()
+        self.holders: list[Peer] = []
+        self.update_holders()
         self.regions = {p.host_ip: p.region for p in peers}
         regional = [p for p in peers if p.region == me.region]
         self.origin_readers = _assign_pieces(count, [p.host_ip for p in peers])
         self.relays = _assign_pieces(count, [p.host_ip for p in regional])
 
-    @property
-    def holders(self) -> list[Peer]:
-        """Reachable agents registered with the version and not incomplete."""
+    def update_holders(self) -> None:
+        """Find the reachable agents that have all pieces."""
         out = self.unreachable | self.incomplete
-        return [
+        self.holders = [
             p for p in self.peers if p.holds_version and p.host_ip not in out
         ]
 
@@ -111,10 +114,22 @@
         self, host_ip: str, indexes: Collection[int]
     ) -> None:
         """Record whether a peer has all pieces."""
-        if len(indexes) < self.count:
-            self.incomplete.add(host_ip)
+        self._set_member(self.incomplete, host_ip, len(indexes) < self.count)
+
+    def set_unreachable(self, host_ip: str, unreachable: bool) -> None:
+        """Record whether an agent answers."""
+        self._set_member(self.unreachable, host_ip, unreachable)
+
+    def _set_member(
+        self, hosts: set[str], host_ip: str, is_member: bool
+    ) -> None:
+        if (host_ip in hosts) == is_member:
+            return
+        if is_member:
+            hosts.add(host_ip)
         else:
-            self.incomplete.discard(host_ip)
+            hosts.discard(host_ip)
+        self.update_holders()
 
     def is_origin_reader(self, index: int) -> bool:
         """Whether this agent is to read a piece from the origin."""
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -28,6 +28,7 @@
         self.reporter = _load_reporter.LoadReporter(
             ip=host.ip,
             port=host.ports[0],
+            region=host.region,
             address=loaded.target.address,
             target=target,
             view=view,
--- a/zinniadyke/sidecar/_weights_fetcher.py
+++ b/zinniadyke/sidecar/_weights_fetcher.py
@@ -273,8 +273,5 @@
         self.store.changed.send()
 
     def _set_unreachable(self, host_ip: str, unreachable: bool) -> None:
-        if unreachable:
-            self.swarm.unreachable.add(host_ip)
-        else:
-            self.swarm.unreachable.discard(host_ip)
+        self.swarm.set_unreachable(host_ip, unreachable)
         self.store.changed.send()
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -37,6 +37,8 @@
 # Interval between reads of the named versions from the store; subscriptions
 # of entries usually carry them sooner.
 VERSIONS_REFRESH_S = 10.0
+# The same while no entry subscribes.
+UNSUBSCRIBED_REFRESH_S = 2.0
 # Maximum age of the list of peers.
 PEERS_REFRESH_S = 2.0
 # Pieces are released from memory this long after the last peer request.
@@ -190,7 +192,12 @@
         now = time.monotonic()
         if self.view.configuration is None:
             self.configuration.step()
-        if now - self.versions_read_at > VERSIONS_REFRESH_S:
+        refresh_s = (
+            VERSIONS_REFRESH_S
+            if self.reporter.subscribers
+            else UNSUBSCRIBED_REFRESH_S
+        )
+        if now - self.versions_read_at > refresh_s:
             self.versions.relist()
             self.versions_read_at = now
 
