Bound the bytes of answers, and the time of those that drip

Cause: targets in trouble may send heads, bodies, chunk extensions, trailers, informational answers or events without end. TargetConnection and EventSplitter bound time only, urllib3's timeouts start anew with each byte and its bodies have no limit. A stream that sent a byte now and then, without completing an event, was waited for till the deadline; a sound one that paused over 1.2 s was cut also when nobody else could go on with it.

Change: limits of 64 KiB for heads and framing, 4 MiB for a body, 32 MiB for all bodies that a process holds, 64 KiB for an event; bounded_http.py reads whole answers of the store, model server, origin and peers within a size and a total time. Only complete events count as progress, and a silent stream goes on elsewhere only if the budget and the targets allow that.

--- a/tests/sidecar/test_peer_client.py
+++ b/tests/sidecar/test_peer_client.py
@@ -1,4 +1,4 @@
-import types
+import urllib3
 
 from zinniadyke.sidecar import _peer_client
 
@@ -7,9 +7,9 @@
     """A frozen peer delays the hosts that wait for the first readers."""
     asked = []
 
-    def request(self, method, path, *, headers, timeout):
+    def request(self, method, path, *, headers, timeout, **_):
         asked.append((path, timeout.connect_timeout, timeout.read_timeout))
-        return types.SimpleNamespace(status=404, data=b"")
+        return urllib3.HTTPResponse(status=404, preload_content=False)
 
     monkeypatch.setattr(
         _peer_client.urllib3.HTTPConnectionPool, "request", request
--- a/zinniadyke/gateway/_events.py
+++ b/zinniadyke/gateway/_events.py
@@ -3,6 +3,12 @@
 EVENT_END = b"\n\n"
 EVENT_END_CRLF = b"\r\n\r\n"
 ID_FIELD = b"id:"
+# Largest event; some hundred bytes are usual.
+MAX_EVENT_BYTES = 65536
+
+
+class EventTooLargeError(Exception):
+    """An event exceeds the limit."""
 
 
 class EventSplitter:
@@ -19,11 +25,21 @@
         self.remainder = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the events completed by ``data``, in order."""
+        """Return the events completed by ``data``, in order.
+
+        Raises
+        ------
+        EventTooLargeError
+            An event exceeds ``MAX_EVENT_BYTES``.
+        """
         self.remainder += data
         events = []
         while True:
             end = _end_of_event(self.remainder)
+            if end > MAX_EVENT_BYTES or (
+                not end and len(self.remainder) > MAX_EVENT_BYTES
+            ):
+                raise EventTooLargeError
             if not end:
                 return events
             events.append(self.remainder[:end])
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -1,7 +1,9 @@
 """Relays one call's response to its caller, across attempts."""
 
+from collections.abc import Callable
 import http
 import logging
+import time
 
 from zinniadyke import directory
 from zinniadyke import errors
@@ -34,6 +36,8 @@
         Id of the last event sent to the caller.
     streaming
         Whether a streamed response to the caller has started.
+    can_resume
+        Returns whether another target could go on with a call's stream now.
     may_have_run
         Whether an earlier attempt broke or failed, so that the request may
         have run.
@@ -49,6 +53,7 @@
         self.streaming = False
         self.may_have_run = False
         self.start_timeout_s = float("inf")
+        self.can_resume: Callable[[_call.Call], bool] = lambda call: True
 
     def run(self, attempt: _attempt.Attempt, start_timeout_s: float) -> None:
         """Make one attempt and relay its response.
@@ -150,18 +155,34 @@
     def _relay_stream(self, attempt: _attempt.Attempt) -> None:
         splitter = _events.EventSplitter()
         response = attempt.connection
+        # Bytes that complete no event do not count as progress.
+        waiting_since = time.monotonic()
         timeout_s = min(self._response_timeout_s(), self.start_timeout_s)
         try:
-            while part := response.read_part(
-                min(
-                    timeout_s,
-                    self.call.remaining_s + _attempt.RESPONSE_GRACE_S,
-                )
-            ):
+            while True:
+                remaining_s = self.call.remaining_s + _attempt.RESPONSE_GRACE_S
+                waited_s = time.monotonic() - waiting_since
+                try:
+                    part = response.read_part(
+                        min(timeout_s - waited_s, remaining_s)
+                    )
+                except _target_connection.SilentTargetError:
+                    slow = self.streaming and remaining_s > 0
+                    if slow and not self.can_resume(self.call):
+                        # Nobody else can go on with it, so wait for its end.
+                        timeout_s = float("inf")
+                        continue
+                    raise
+                if not part:
+                    break
                 events = self._new_events(splitter.feed(part))
                 if events:
                     self._relay_part(attempt, b"".join(events))
+                    waiting_since = time.monotonic()
                     timeout_s = self._event_timeout_s()
+        except _events.EventTooLargeError:
+            attempt.mark_broken("event over the limit")
+            return
         except _target_connection.BrokenResponseError as error:
             attempt.mark_broken(str(error))
             return
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -7,7 +7,9 @@
 
 import collections
 import enum
+import logging
 import socket
+import time
 
 import eventlet
 from eventlet.green import socket as green_socket
@@ -15,21 +17,66 @@
 import httptools
 
 from zinniadyke.gateway import _request
+from zinniadyke import telemetry
+
+LOG = logging.getLogger(__name__)
 
 READ_BYTES = 16384
 # Lower statuses are interim responses.
 MIN_FINAL_STATUS = 200
 BODILESS = (204, 304)
+# Largest head, with all interim responses before it.
+MAX_HEAD_BYTES = 65536
+# Largest body of a response that is not a stream.
+MAX_BODY_BYTES = 4 << 20
+# Framing (chunk sizes, extensions, trailers) allowed beyond MAX_HEAD_BYTES,
+# as a multiple of the body; a chunk of one byte has five more.
+MAX_FRAMING_RATIO = 16
+# Bodies that all connections of the process hold together.
+MAX_BUFFERED_BYTES = 32 << 20
 
 
 class BrokenResponseError(Exception):
     """The target's response is incomplete or not valid HTTP."""
 
 
+class SilentTargetError(BrokenResponseError):
+    """Nothing arrived in time; the response may still be coming."""
+
+
 class NotConnectedError(Exception):
     """No connection was established, so nothing was sent."""
 
 
+class BufferedBytes:
+    """Counts the bytes of the bodies that all connections hold.
+
+    Attributes
+    ----------
+    held
+        Number of bytes.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        """Start with nothing held."""
+        self.limit = limit
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Count bytes; return False if that exceeds the limit."""
+        if self.held + size > self.limit:
+            return False
+        self.held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Stop counting bytes."""
+        self.held -= size
+
+
+BUFFERED_BYTES = BufferedBytes(limit=MAX_BUFFERED_BYTES)
+
+
 class Framing(enum.Enum):
     """How the end of a response is determined."""
 
@@ -68,6 +115,9 @@
         self.complete = False
         self.parts: collections.deque[bytes] = collections.deque()
         self.framing = Framing.CLOSE
+        self.received_bytes = 0
+        self.body_bytes = 0
+        self.buffered_bytes = 0
 
     def connect(self, timeout_s: float) -> None:
         """Open the connection.
@@ -125,13 +175,22 @@
 
         Raises
         ------
+        SilentTargetError
+            No byte of the body arrived within ``timeout_s``.
         BrokenResponseError
-            The body ended early, or nothing arrived for ``timeout_s``.
+            The body ended early.
         """
+        deadline = time.monotonic() + timeout_s
+        received = False
         while not self.parts:
             if self.complete:
                 return b""
-            self._receive(timeout_s)
+            remaining_s = deadline - time.monotonic()
+            if received and remaining_s <= 0:
+                # Bytes that are no body do not count as progress.
+                raise SilentTargetError("only framing arrived in time")
+            self._receive(remaining_s)
+            received = True
         return self.parts.popleft()
 
     def read_body(self, timeout_s: float) -> bytes:
@@ -148,6 +207,7 @@
         ):
             while not self.complete:
                 self._receive(timeout_s)
+                self._check_buffered()
         return b"".join(self.parts)
 
     def header(self, name: str) -> str:
@@ -159,10 +219,32 @@
         if self.sock is not None:
             self.sock.close()
             self.sock = None
+        self.parts.clear()
+        BUFFERED_BYTES.give_back(self.buffered_bytes)
+        self.buffered_bytes = 0
+
+    def _check_buffered(self) -> None:
+        """Account for the body held here; break off one without end."""
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise _over_limit("body", self.address)
+        if not BUFFERED_BYTES.take(self.body_bytes - self.buffered_bytes):
+            raise _over_limit("bodies of the process", self.address)
+        self.buffered_bytes = self.body_bytes
+
+    def _check_framing(self) -> None:
+        """Break off a head, interim responses or framing without end."""
+        framing_bytes = self.received_bytes - self.body_bytes
+        allowed = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self.body_bytes
+        if not self.complete and framing_bytes > allowed:
+            raise _over_limit(
+                "framing" if self.head_complete else "head", self.address
+            )
 
     def _receive(self, timeout_s: float) -> None:
         try:
             data = _receive(self.sock, max(timeout_s, 0.001))
+        except TimeoutError as error:
+            raise SilentTargetError(f"receive: {error}")
         except OSError as error:
             raise BrokenResponseError(f"receive: {error}")
         if not data:
@@ -170,6 +252,7 @@
                 self.complete = True
                 return
             raise BrokenResponseError("the target closed the connection")
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -178,6 +261,7 @@
             # Bytes after a complete response belong to no request.
             if not self.complete:
                 raise BrokenResponseError(f"not HTTP: {error}")
+        self._check_framing()
 
     def on_status(self, reason: bytes) -> None:
         """Store the reason phrase (called by httptools)."""
@@ -207,6 +291,7 @@
         """Append a part of the body (called by httptools)."""
         if not self.complete:
             self.parts.append(body)
+            self.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete (called by httptools)."""
@@ -223,6 +308,13 @@
         return Framing.CLOSE
 
 
+def _over_limit(what: str, address: str) -> BrokenResponseError:
+    """Count and log a response that exceeds a limit; return its error."""
+    telemetry.count(telemetry.Metric.ANSWERS_OVER_LIMIT, label=what)
+    LOG.warning("answer over a limit", extra={"what": what, "from": address})
+    return BrokenResponseError(f"{what} over the limit")
+
+
 def _receive(sock, timeout_s: float) -> bytes:
     """Return received bytes; empty only after an orderly close.
 
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from zinniadyke import bounded_http
 from zinniadyke import errors
 from zinniadyke.platform import _revision
 from zinniadyke import telemetry
@@ -21,6 +22,10 @@
 CONNECT_TIMEOUT_S = 0.5
 # A slow store takes about 0.3 s to answer.
 CALL_TIMEOUT_S = 1.5
+# Several large objects; the store sends about 1 MB at a time.
+MAX_ANSWER_BYTES = 32 << 20
+# Time that an answer may take to arrive over a narrow link.
+MAX_TRANSFER_S = 10.0
 # Time that a watch may take beyond its requested wait.
 WATCH_EXTRA_TIMEOUT_S = 0.6
 MS_PER_S = 1000
@@ -257,7 +262,7 @@
                 f" the store is in era {self.era}"
             )
 
-    def _record_era(self, answer: urllib3.BaseHTTPResponse) -> None:
+    def _record_era(self, answer: bounded_http.Answer) -> None:
         """Record the era of an answer; refuse one from an earlier era.
 
         Raises
@@ -327,13 +332,16 @@
         body: bytes | None = None,
         extra_statuses: frozenset[int] = frozenset(),
         timeout_s: float | None = None,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> bounded_http.Answer:
         """Make a call; raise unless success or one of ``extra_statuses``."""
         telemetry.count(telemetry.Metric.PLATFORM_CALLS, label=method)
         try:
-            answer = self.pool.request(
+            answer = bounded_http.request(
+                self.pool,
                 method,
                 path,
+                max_bytes=MAX_ANSWER_BYTES,
+                total_s=(timeout_s or self.timeout_s) + MAX_TRANSFER_S,
                 body=body,
                 headers=JSON_HEADERS if body is not None else None,
                 timeout=urllib3.Timeout(
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -10,6 +10,7 @@
 import msgspec
 import urllib3
 
+from zinniadyke import bounded_http
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.platform import _decode_target
@@ -25,6 +26,12 @@
 # SYN packets are delayed on a saturated link.
 CONNECT_TIMEOUT_S = 1.5
 LOCAL_CONNECTIONS = 2
+# Largest piece or manifest that is read into memory.
+MAX_PIECE_BYTES = 8 << 20
+# Time for an answer of the model server to arrive beyond its timeout.
+LOCAL_TRANSFER_S = 2.0
+# Time limit of a whole call to the origin, whose link many share.
+ORIGIN_TRANSFER_S = 15.0
 # SHA-256 in hexadecimal.
 DIGEST = re.compile("[0-9a-f]{64}", re.IGNORECASE)
 
@@ -224,7 +231,7 @@
             http.HTTPStatus.CREATED,
             http.HTTPStatus.NO_CONTENT,
         ),
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> bounded_http.Answer:
         closed_s = self.closed_until - time.monotonic()
         if closed_s > 0:
             raise errors.EngineError(
@@ -232,9 +239,12 @@
                 f" {closed_s:.1f} s"
             )
         try:
-            answer = self.pool.request(
+            answer = bounded_http.request(
+                self.pool,
                 method,
                 path,
+                max_bytes=MAX_PIECE_BYTES,
+                total_s=timeout_s + LOCAL_TRANSFER_S,
                 body=body,
                 headers=headers,
                 timeout=urllib3.Timeout(
@@ -327,9 +337,12 @@
                 code=errors.ResultCode.ORIGIN_UNAVAILABLE,
             )
         try:
-            answer = self.pool.request(
+            answer = bounded_http.request(
+                self.pool,
                 "GET",
                 path,
+                max_bytes=MAX_PIECE_BYTES,
+                total_s=ORIGIN_TRANSFER_S,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_S, read=ORIGIN_TIMEOUT_S
                 ),
@@ -353,7 +366,7 @@
         return answer.data
 
 
-def _closed_until(answer: urllib3.BaseHTTPResponse, address: str) -> float:
+def _closed_until(answer: bounded_http.Answer, address: str) -> float:
     """Return the monotonic time until which a server wants no calls."""
     if answer.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
         return float("-inf")
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -7,6 +7,7 @@
 import msgspec
 import urllib3
 
+from zinniadyke import bounded_http
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pieces
 
@@ -18,6 +19,10 @@
 # Digests are a few KB. Many hosts wait until the first few have read them, so
 # a frozen peer must not delay those few for long.
 DIGESTS_TIMEOUT_S = 0.3
+# Time limit of a whole transfer; several share a narrow link.
+MAX_TRANSFER_S = 8.0
+# Digests of some ten thousand pieces.
+MAX_DIGESTS_BYTES = 1 << 20
 CONNECTIONS_PER_HOST = 8
 # Whole pieces from several peers at once would queue in the host's link
 # ahead of incoming requests.
@@ -90,6 +95,7 @@
                 host_ip,
                 path,
                 headers={"Range": f"bytes={first}-{first + length - 1}"},
+                max_bytes=length,
             )
             if part is None:
                 return None
@@ -103,6 +109,7 @@
         *,
         headers: dict[str, str] | None = None,
         timeout: urllib3.Timeout = PIECE_TIMEOUT,
+        max_bytes: int = MAX_DIGESTS_BYTES,
     ) -> bytes | None:
         pool = self.pools.get(host_ip)
         if pool is None:
@@ -110,9 +117,12 @@
                 host_ip, self.port, maxsize=CONNECTIONS_PER_HOST, retries=False
             )
         try:
-            answer = pool.request(
+            answer = bounded_http.request(
+                pool,
                 "GET",
                 path,
+                max_bytes=max_bytes,
+                total_s=MAX_TRANSFER_S,
                 headers=headers,
                 timeout=timeout,
             )
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -34,6 +34,8 @@
     TARGETS_CLOSED = "targets_closed"
     # Targets that said in an answer that they are leaving.
     TARGETS_LEAVING = "targets_leaving"
+    # Answers of targets that were broken off, as they exceeded a limit.
+    ANSWERS_OVER_LIMIT = "answers_over_limit"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
