Malformed counts, messages and objects end nothing but themselves

Cause: str.isdigit accepts digits that int refuses, and int refuses some thousand digits: a target whose load header or event id was such failed a good answer, a caller's Last-Event-Id its stream. An unexpected error in a datagram's handler ended the reading of all datagrams, one in a follower's callback the following of all objects, both silently: the process went on with what it knew. A route whose shares are all zero gave 500.

--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -5,6 +5,7 @@
 import logging
 import time
 
+from zinniadyke import decimal_text
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _target_connection
 from zinniadyke.gateway import _target_state
@@ -199,9 +200,12 @@
             self._finish(_call.Outcome.BROKEN, "answer without signature")
 
     def _record_load(self) -> None:
-        parts = self.connection.header(headers.TARGET_LOAD).split(",")
-        if len(parts) == 3 and all(p.strip().isdigit() for p in parts):
-            self.state.record_load(int(parts[0]), int(parts[1]))
+        counts = [
+            decimal_text.parse_count(part)
+            for part in self.connection.header(headers.TARGET_LOAD).split(",")
+        ]
+        if len(counts) == 3 and None not in counts:
+            self.state.record_load(counts[0], counts[1])
 
     def _record_retry_after(self) -> None:
         """Send the target nothing for the time that its 503 asks for."""
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -78,12 +78,12 @@
     RequestError
         The route has no services.
     """
-    backends = route.backends
+    backends = [b for b in route.backends if b.weight > 0]
     if not backends:
         raise errors.RequestError(code=errors.ResultCode.NO_TARGET)
     if len(backends) == 1:
         return backends[0].service
-    drawn = random.choices(backends, [max(b.weight, 0) for b in backends])
+    drawn = random.choices(backends, [b.weight for b in backends])
     return drawn[0].service
 
 
--- a/zinniadyke/gateway/_events.py
+++ b/zinniadyke/gateway/_events.py
@@ -1,5 +1,7 @@
 """Splits an event stream, so that only complete events are relayed."""
 
+from zinniadyke import decimal_text
+
 EVENT_END = b"\n\n"
 EVENT_END_CRLF = b"\r\n\r\n"
 ID_FIELD = b"id:"
@@ -50,8 +52,7 @@
     """Return the numeric id of an event; None if it has none."""
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
-            value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return decimal_text.parse_count(line[len(ID_FIELD) :])
     return None
 
 
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -102,8 +102,13 @@
                 )
                 eventlet.sleep(RECEIVE_RETRY_S)
                 continue
-            if isinstance(report, reports.LoadReport):
+            if not isinstance(report, reports.LoadReport):
+                continue
+            try:
                 self._apply_report(report)
+            except Exception:
+                # One report must not end the reading of all others.
+                LOG.exception("load report failed", extra={"host": host_ip})
 
     def _apply_report(self, report: reports.LoadReport) -> None:
         reports.learn_desired_weights(self.view, report.named)
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -5,6 +5,7 @@
 import logging
 import time
 
+from zinniadyke import decimal_text
 from zinniadyke import directory
 from zinniadyke import errors
 from zinniadyke.gateway import _attempt
@@ -200,8 +201,8 @@
         for event in events:
             number = _events.event_number(event)
             if number is not None:
-                last = self.last_event_id
-                if last.isdigit() and number <= int(last):
+                last = decimal_text.parse_count(self.last_event_id)
+                if last is not None and number <= last:
                     continue
                 self.last_event_id = str(number)
             fresh.append(event)
--- a/zinniadyke/platform/_revision.py
+++ b/zinniadyke/platform/_revision.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from zinniadyke import decimal_text
+
 # Era of a store that does not report one.
 NO_ERA = 0
 
@@ -19,6 +21,4 @@
 
 def parse_era(text: str | None) -> int | None:
     """Return the era that an answer states; None if absent or unreadable."""
-    if text is None or not (text.isascii() and text.strip().isdigit()):
-        return None
-    return int(text)
+    return None if text is None else decimal_text.parse_count(text)
