Fewer calls to the store, and clocks that count a suspended host's time

A suspended host's steady clock stands still, so a lease or the time left for older weights looked valid after it had run out.

Change: changes of registrations gather for a quarter of drain_ms (0.5 s at 2 s, 1 s at 4 s), watches wait for stable_window_ms less 1 s (2 s as before at 3 s), agents read configuration and registrations from lists that may be stale; agents of idle targets read the load every 0.3 s. Leases and the ages of versions use uptime.now_s (CLOCK_BOOTTIME).

--- a/tests/clock.py
+++ b/tests/clock.py
@@ -8,3 +8,6 @@
 
     def monotonic(self) -> float:
         return self.now
+
+    def now_s(self) -> float:
+        return self.now
--- a/tests/control/test_lease.py
+++ b/tests/control/test_lease.py
@@ -11,7 +11,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     made = clocks.Clock()
-    monkeypatch.setattr(_lease, "time", made)
+    monkeypatch.setattr(_lease, "uptime", made)
     return made
 
 
--- a/tests/control/test_restored_store.py
+++ b/tests/control/test_restored_store.py
@@ -25,7 +25,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     made = clocks.Clock()
-    monkeypatch.setattr(_lease, "time", made)
+    monkeypatch.setattr(_lease, "uptime", made)
     return made
 
 
--- a/zinniadyke/bench/_virtual_time.py
+++ b/zinniadyke/bench/_virtual_time.py
@@ -5,6 +5,8 @@
 from eventlet import hubs
 from eventlet.hubs import hub
 
+from zinniadyke import uptime
+
 # With 0, code that compares times would read the start as 'never'.
 START_S = 1000.0
 # Keeps simultaneous timers in order; the hub would order them by address.
@@ -36,3 +38,4 @@
     """Switch the whole process to virtual time, irreversibly."""
     hubs.use_hub(VirtualTimeHub)
     time.monotonic = hubs.get_hub().clock
+    uptime.now_s = hubs.get_hub().clock
--- a/zinniadyke/control/_lease.py
+++ b/zinniadyke/control/_lease.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import time
 
 import eventlet
 import msgspec
@@ -10,6 +9,7 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import platform
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -42,9 +42,9 @@
     """Acquires and renews one lease on behalf of this process.
 
     The holder may act for ``HOLDER_VALIDITY_S`` from the start of its last
-    successful renewal, measured by its own monotonic clock. A contender
-    takes over once it has seen the record unchanged for
-    ``LEASE_EXPIRY_S``, measured by the contender's monotonic clock.
+    successful renewal. A contender takes over once it has seen the record
+    unchanged for ``LEASE_EXPIRY_S``. Each measures by its own steady clock,
+    which also counts the time in which its host is suspended.
 
     A restored store may lack the latest holder. So no lease of an earlier era
     is held or renewed; it is acquired again once it has expired as seen in
@@ -80,12 +80,12 @@
     def held(self) -> bool:
         """Whether this process may act as the holder now."""
         return (
-            time.monotonic() < self.valid_until and self.era == self.client.era
+            uptime.now_s() < self.valid_until and self.era == self.client.era
         )
 
     def renew_or_acquire(self) -> None:
         """Renew the lease if this process holds it, or take an expired one."""
-        started_at = time.monotonic()
+        started_at = uptime.now_s()
         try:
             stored = self.client.get(self.key, purpose=platform.Purpose.LEASE)
             self._record_era()
@@ -120,7 +120,7 @@
         before, self.era = self.era, self.client.era
         if before in (None, self.era):
             return
-        self.restored_at = time.monotonic()
+        self.restored_at = uptime.now_s()
         if self.valid_until > self.restored_at:
             LOG.warning(
                 "lease given up, the store was restored",
@@ -129,7 +129,7 @@
         self.valid_until = 0.0
 
     def _is_expired(self, stored: platform.StoredObject | None) -> bool:
-        now = time.monotonic()
+        now = uptime.now_s()
         if stored is None:
             return now - self.restored_at >= LEASE_EXPIRY_S
         if stored.revision != self.seen_revision:
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -10,8 +10,7 @@
 
 LOG = logging.getLogger(__name__)
 
-# With longer watches a silent connection would go unnoticed beyond the 3 s
-# within which the operators' bounds must hold again.
+# Usual wait of a watch. A silent connection goes unnoticed for longer.
 WATCH_WAIT_S = 2.0
 # Backoff after the first failed call; doubles with each further one.
 RETRY_MIN_S = 0.1
@@ -55,6 +54,11 @@
     batch_window_s
         Pause after each batch of changes, in seconds. The platform charges
         for each call, and one call returns all changes since the last.
+
+    Attributes
+    ----------
+    watch_wait_s
+        Longest wait of a watch, in seconds.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self.batch_window_s = batch_window_s
         self.era = era
         self.clock = clock
+        self.watch_wait_s = WATCH_WAIT_S
         self.objects: dict[str, object] = {}
         self.lapsed: dict[str, object] = {}
         # Monotonic time of the removal of each object.
@@ -113,6 +118,11 @@
                 self._record_failure(error)
                 eventlet.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
+            except Exception:
+                # What one object causes must not end the following of all.
+                LOG.exception("update failed", extra={"kind": self.name})
+                self.revision = None
+                eventlet.sleep(RETRY_MAX_S)
 
     def relist(self) -> None:
         """List all objects now."""
@@ -148,9 +158,9 @@
 
     def _wait_s(self) -> float:
         if not self.lapsed:
-            return WATCH_WAIT_S
+            return self.watch_wait_s
         left_s = self.outage_ended_at + LAPSE_GRACE_S - self.clock()
-        return min(max(left_s, 0.0) + GRACE_MARGIN_S, WATCH_WAIT_S)
+        return min(max(left_s, 0.0) + GRACE_MARGIN_S, self.watch_wait_s)
 
     def _record_era(self) -> bool:
         """Return whether the store was restored since the last list."""
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 import logging
-import time
 
 import msgspec
 
 from zinniadyke.directory import _configuration
 from zinniadyke.directory import _target
 from zinniadyke import ids
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -32,8 +32,8 @@
     desired_weights
         Newest version of each model that its targets shall hold.
     desired_since
-        Monotonic time, in seconds, at which each version of a model became
-        the desired one; ``UNKNOWN_SINCE`` if not known.
+        Time of :func:`zinniadyke.uptime.now_s` at which each version of a
+        model became the desired one; ``UNKNOWN_SINCE`` if not known.
     listed_versions
         Newest version of each model in the lists that this process read
         itself; None before the first list.
@@ -167,7 +167,7 @@
             process.
         """
         known = self.listed_versions is not None or after_outage
-        since = time.monotonic() if known else UNKNOWN_SINCE
+        since = uptime.now_s() if known else UNKNOWN_SINCE
         listed_versions = self.listed_versions = self.listed_versions or {}
         for desired in desired_weights:
             if listed_versions.get(desired.model, 0) >= desired.version:
@@ -204,7 +204,7 @@
             if known is None and not will_list_it:
                 self._learn_newer(model, version, UNKNOWN_SINCE)
             return
-        since = time.monotonic() - age_s
+        since = uptime.now_s() - age_s
         if known is None:
             self._learn_newer(model, version, since)
         elif known == UNKNOWN_SINCE or since < known:
@@ -225,7 +225,7 @@
 
         The time is None if unknown.
         """
-        now = time.monotonic()
+        now = uptime.now_s()
         return {
             model: {
                 version: _age_ms(now, since)
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -25,6 +25,7 @@
 from zinniadyke import requests
 from zinniadyke import settings
 from zinniadyke import telemetry
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -110,7 +111,7 @@
             )
             attempt.on_leaving = self._record_leaving
             try:
-                relay.run(attempt, start_deadline - time.monotonic())
+                relay.run(attempt, start_deadline - uptime.now_s())
             finally:
                 attempt.close()
                 admission.release(state)
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -44,7 +44,10 @@
 MS_PER_S = 1000.0
 # Part of the time to notice a leaving target for which changes of
 # registrations are gathered, as every call to the store has a price.
-TARGETS_BATCH_SHARE = 0.15
+TARGETS_BATCH_SHARE = 0.25
+# A watch ends this long before the operators' bounds must hold again after a
+# disruption, so that a silent connection is noticed and replaced by then.
+WATCH_MARGIN_S = 1.0
 WSGI_LOG = logging.getLogger("zinniadyke.gateway.wsgi")
 WSGI_LOG.propagate = False
 WSGI_LOG.addHandler(logging.NullHandler())
@@ -60,6 +63,9 @@
         self.view.watches_versions = True
         self.wait_estimator = _caller_wait.CallerWaitEstimator()
         self.store = platform.StoreClient(address=loaded.store.address)
+        watch_wait_s = (
+            loaded.bounds.stable_window_ms / MS_PER_S - WATCH_MARGIN_S
+        )
         self.followers = [
             platform.follow_configuration(self.store, self.view),
             platform.follow_targets(
@@ -71,6 +77,8 @@
             ),
             platform.follow_versions(self.store, self.view),
         ]
+        for follower in self.followers:
+            follower.watch_wait_s = watch_wait_s
         regions = {r.zone: r.region for r in loaded.host.regions}
         self.target_table = _target_table.TargetTable(
             view=self.view,
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -8,6 +8,7 @@
 from zinniadyke import directory
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -223,7 +224,7 @@
 
     def min_version(self, model: str) -> ids.WeightsVersion:
         """Return the oldest version that a request may start on now."""
-        cutoff = time.monotonic() - (self.version_bound_s - VERSION_MARGIN_S)
+        cutoff = uptime.now_s() - (self.version_bound_s - VERSION_MARGIN_S)
         desired_times = self.view.desired_since.get(ids.ModelName(model), {})
         return max(
             (
@@ -237,7 +238,7 @@
     def start_deadline(
         self, state: _target_state.TargetState, model: str
     ) -> float:
-        """Return when a request must have started, as monotonic seconds.
+        """Return when a request must have started, by the uptime clock.
 
         It is infinite while no newer version of the model is desired.
         """
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -20,9 +20,15 @@
 
 
 def follow_configuration(
-    store: _store.StoreClient, view: directory.View
+    store: _store.StoreClient, view: directory.View, *, stale: bool = False
 ) -> directory.Follower:
-    """Return a follower that sets the view's configuration."""
+    """Return a follower that sets the view's configuration.
+
+    Parameters
+    ----------
+    stale
+        Whether a list may be seconds old, at a tenth of the price.
+    """
 
     def on_update(objects: dict[str, _store.StoreObject]) -> None:
         stored = objects.get(CONFIGURATION_NAME)
@@ -45,7 +51,7 @@
             )
         view.set_configuration(decoded)
 
-    return _make_follower(store, CONFIGURATION_KIND, on_update)
+    return _make_follower(store, CONFIGURATION_KIND, on_update, stale=stale)
 
 
 def follow_versions(
@@ -87,6 +93,7 @@
     view: directory.View,
     *,
     batch_window_s: float = TARGETS_BATCH_WINDOW_S,
+    stale: bool = False,
 ) -> directory.Follower:
     """Return a follower that sets the view's targets.
 
@@ -94,6 +101,8 @@
     ----------
     batch_window_s
         Pause after each batch of changes, in seconds.
+    stale
+        Whether a list may be seconds old, at a tenth of the price.
     """
     applied_layers: dict[str, int] = {}
     # Decoded form of each registration; most change by heartbeats of others.
@@ -124,6 +133,7 @@
         store,
         TARGETS_KIND,
         on_update,
+        stale=stale,
         keep_lapsed=True,
         batch_window_s=batch_window_s,
     )
@@ -157,9 +167,11 @@
     }
 
 
-def _make_follower(store, kind, on_update, **options) -> directory.Follower:
+def _make_follower(
+    store, kind, on_update, *, stale=False, **options
+) -> directory.Follower:
     def list_all() -> tuple[dict[str, _store.StoreObject], _revision.Revision]:
-        listed = store.list_objects(kind)
+        listed = store.list_objects(kind, stale=stale)
         return {o.metadata.name: o for o in listed.objects}, listed.revision
 
     def wait_for_changes(revision: _revision.Revision, wait_s: float):
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -188,9 +188,14 @@
         name = wanted.metadata.name
         return self._write("PUT", _path(kind, name), wanted)
 
-    def list_objects(self, kind: str) -> ObjectList:
+    def list_objects(self, kind: str, *, stale: bool = False) -> ObjectList:
         """Return all objects of a kind; skip unreadable ones.
 
+        Parameters
+        ----------
+        stale
+            Whether objects may be seconds old, at a tenth of the price.
+
         Raises
         ------
         StoreRestoredError
@@ -201,8 +206,9 @@
         listed_objects: list[StoreObject] = []
         first_revision = None
         after = ""
-        query = ""
+        options = {"serializable": "1"} if stale else {}
         while True:
+            query = f"?{parse.urlencode(options)}" if options else ""
             data = self._call("GET", _path(kind) + query).data
             answer = decode(data, _ListAnswer, "list")
             # A watch from the revision of the first page also returns the
@@ -220,7 +226,7 @@
                     objects=listed_objects, revision=first_revision
                 )
             after = last
-            query = f"?after={parse.quote(last, safe='')}"
+            options["after"] = last
 
     def watch(
         self, kind: str, revision: _revision.Revision, wait_s: float
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -69,6 +69,9 @@
     drain_ms
         Time after a target is known to leave until no request may reach it,
         in milliseconds.
+    stable_window_ms
+        Time after the end of a disruption until the operators' bounds hold
+        again, in milliseconds.
     grace_s
         Time from SIGTERM to SIGKILL, in seconds.
     retry_ratio, retry_extra
@@ -79,6 +82,7 @@
 
     version_ms: float = 8000.0
     drain_ms: float = 2000.0
+    stable_window_ms: float = 3000.0
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_extra: float = 0.0
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -18,6 +18,8 @@
 
 # Interval between readings of the load, by which entries route requests.
 REPORT_INTERVAL_S = 0.1
+# Interval while the target has nothing to do.
+IDLE_REPORT_INTERVAL_S = 0.3
 # An unchanged report is sent again after this time.
 RESEND_INTERVAL_S = 0.3
 # Entries renew their subscription every 0.5 s; stopped ones expire.
@@ -94,8 +96,13 @@
                 eventlet.sleep(RETRY_DELAY_S)
                 continue
             handler = self.handlers.get(type(message))
-            if handler is not None:
+            if handler is None:
+                continue
+            try:
                 handler(message, sender)
+            except Exception:
+                # One message must not end the reading of all others.
+                LOG.exception("message failed", extra={"host": sender[0]})
 
     def _handle_subscription(
         self, message: reports.Subscribe, sender: tuple[str, int]
@@ -112,7 +119,9 @@
                 self.publish_report(self.target.report(self._layers()))
             except errors.EngineError as error:
                 self._note_failure(error)
-            eventlet.sleep(REPORT_INTERVAL_S)
+            except Exception:
+                LOG.exception("report of the target failed")
+            eventlet.sleep(report_interval_s(self.latest))
 
     def publish_report(self, report: platform.EngineReport) -> None:
         """Store the target's report and send it to the subscribers."""
@@ -205,3 +214,16 @@
             ),
             default=0,
         )
+
+
+def report_interval_s(report: platform.EngineReport | None) -> float:
+    """Return the time until the next reading of the load, in seconds.
+
+    Load: hundreds of agents, most of whose targets are idle or hold no
+    weights yet. An entry knows what it has sent to an idle target itself.
+    """
+    if report is None or report.order_in_progress:
+        return REPORT_INTERVAL_S
+    if report.running or report.waiting:
+        return REPORT_INTERVAL_S
+    return IDLE_REPORT_INTERVAL_S
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -23,6 +23,7 @@
 from zinniadyke.sidecar import _schedule
 from zinniadyke.sidecar import _weights_fetcher
 from zinniadyke import telemetry
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -81,8 +82,12 @@
         self.reporter = reporter
         self.peer_server = peer_server
         self.bucket = bucket
-        self.configuration = platform.follow_configuration(store, view)
-        self.targets = platform.follow_targets(store, view)
+        # Peers and the engine's profile may be seconds old; the versions that
+        # operators name may not.
+        self.configuration = platform.follow_configuration(
+            store, view, stale=True
+        )
+        self.targets = platform.follow_targets(store, view, stale=True)
         self.versions = platform.follow_versions(store, view)
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
@@ -159,7 +164,7 @@
             self.changed.wait(SWITCH_POLL_INTERVAL_S)
             return
         remaining_s = (
-            self._scheduled_switch_at(model, store.version) - time.monotonic()
+            self._scheduled_switch_at(model, store.version) - uptime.now_s()
         )
         if self._held_version(model) and remaining_s > 0:
             # A newer version may be completed before the switch is due.
@@ -302,7 +307,7 @@
             desired_since,
             self._held_version(model),
             complete,
-            now=time.monotonic(),
+            now=uptime.now_s(),
             bound_s=self.settings.bounds.version_ms / MS_PER_S
             - _schedule.ENTRY_MARGIN_S,
             lead_time_s=self._lead_time_s(),
@@ -338,7 +343,7 @@
     def _scheduled_switch_at(
         self, model: ids.ModelName, version: ids.WeightsVersion
     ) -> float:
-        """Return the monotonic time at which this target should switch.
+        """Return the uptime at which this target should switch, in seconds.
 
         The targets of a service switch one after another.
         """
@@ -375,7 +380,7 @@
         """Return the time until a version is fetched and its switch due."""
         scheduled_in_s = (
             self._scheduled_switch_at(store.model, store.version)
-            - time.monotonic()
+            - uptime.now_s()
         )
         return max(scheduled_in_s, self._fetch_time_s(len(store.missing)))
 
