Test and mend the failures that operators of similar systems met

Provoked, two could happen here: an agent's kept connection gave a copied report as the answer to an order, and one extra answer shifted all pieces read after it; a permit that was released while the process was paused in the drain was acted on.

Change: orders have a connection each, reports one of their own, those of pieces are replaced after a mismatch; the permit is checked again after the drain, and the target serves on without it.

--- a/tests/agent/test_order_executor.py
+++ b/tests/agent/test_order_executor.py
@@ -220,6 +220,26 @@
     assert engine_setup.engine.loads == ["m/1", "m/2"]
 
 
+def test_a_permit_that_is_gone_after_the_drain_is_not_used(
+    engine_setup, monkeypatch
+):
+    """The process is paused in the drain; another target is out by then."""
+    executor = engine_setup.executor("life-1")
+    assert send(executor, "m/1", 1, "life-1") is errors.ResultCode.OK
+    engine_setup.permit("life-1", "m/2")
+
+    def drain(timeout_s):
+        engine_setup.permit("life-9", "m/2")
+        return True
+
+    monkeypatch.setattr(executor.gate, "drain", drain)
+    found = send(executor, "m/2", 1, "life-1")
+    assert found is errors.ResultCode.WAITING_FLOOR
+    assert executor.gate.state is peers.GateState.SERVING
+    assert executor.gate.version == "m/1"
+    assert engine_setup.engine.loads == ["m/1"]
+
+
 def test_a_drained_target_needs_no_permit(engine_setup):
     executor = engine_setup.executor("life-1")
     send(executor, "m/1", 1, "life-1")
--- a/tests/control/test_lease.py
+++ b/tests/control/test_lease.py
@@ -81,3 +81,16 @@
     clock.now += _lease.HOLDER_VALIDITY_S
     first.renew_or_acquire()
     assert not first.held
+
+
+def test_a_suspended_holder_does_not_act_on_its_lease(fake, monkeypatch):
+    """The steady clock stands still while a host is suspended."""
+    now = [1000.0]
+    monkeypatch.setattr(
+        _lease.uptime.time, "clock_gettime", lambda clock: now[0]
+    )
+    first = lease(fake, "a")
+    first.renew_or_acquire()
+    assert first.held
+    now[0] += _lease.HOLDER_VALIDITY_S
+    assert not first.held
--- a/zinniadyke/agent/_order_executor.py
+++ b/zinniadyke/agent/_order_executor.py
@@ -89,7 +89,8 @@
         stage = self.stager.stages.get(order.version)
         if stage is None or not stage.complete:
             raise errors.OrderRefusedError(code=errors.ResultCode.NOT_STAGED)
-        if self.gate.reported_state is peers.GateState.SERVING:
+        needs_permit = self.gate.reported_state is peers.GateState.SERVING
+        if needs_permit:
             self.fence.check_permit(order.version)
         # Do not yield to another green thread between this check and the
         # drain: the wanted version could change.
@@ -103,6 +104,8 @@
             )
         self.gate.close()
         self.fence.check_agent_current()
+        if needs_permit:
+            self._recheck_permit(order.version, previous_version)
         self.client.load(
             order.version,
             stage.iter_chunks(),
@@ -115,6 +118,18 @@
         LOG.info("serving", extra={"version": order.version})
         self.stager.note_used(order.version)
 
+    def _recheck_permit(self, version: str, previous_version: str) -> None:
+        """Check the permit again after the drain; serve on without it.
+
+        The process may have been paused or delayed since the first check,
+        and another target may be out of service with the permit by now.
+        """
+        try:
+            self.fence.check_permit(version)
+        except errors.ZinniadykeError:
+            self.gate.open(previous_version)
+            raise
+
     def _check_order(self, order: peers.Activate) -> None:
         if order.incarnation != self.incarnation:
             raise errors.OrderRefusedError(
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -101,6 +101,11 @@
 class ModelServerClient:
     """Calls the model server on this host.
 
+    A server in trouble may send a second copy of an answer, which the next
+    call on the connection would take for its own. So reports have a
+    connection of their own, each order has a new one, and those of pieces,
+    which are checked by their digests, are replaced after a mismatch.
+
     Parameters
     ----------
     address
@@ -111,6 +116,7 @@
         """Create the connection pool, which connects on first use."""
         self.address = address
         self.pool = _connection_pool(address, LOCAL_CONNECTIONS)
+        self.report_pool = _connection_pool(address, 1)
         # Monotonic time until which the server wants no calls.
         self.closed_until = float("-inf")
         # Start of the server that said that it is leaving.
@@ -124,7 +130,7 @@
         EngineError
             The server did not answer with its state.
         """
-        answer = self._call("GET", "/v1/report")
+        answer = self._call("GET", "/v1/report", pool=self.report_pool)
         try:
             decoded = msgspec.json.decode(answer.data, type=_Report)
         except msgspec.MsgspecError as error:
@@ -162,6 +168,11 @@
         )
         return answer.data if answer.status == http.HTTPStatus.OK else None
 
+    def replace_connections(self) -> None:
+        """Close the connections of pieces, as an answer was not its call's."""
+        self.pool.close()
+        self.pool = _connection_pool(self.address, LOCAL_CONNECTIONS)
+
     def stage_piece(self, model: str, index: int, piece: bytes) -> None:
         """Stage a piece on the server."""
         self._call(
@@ -203,19 +214,24 @@
             switch_mode="truncate" if cancel_running else "wait",
             expected=orders_begun,
         )
-        answer = self._call(
-            "POST",
-            "/v1/order",
-            body=msgspec.json.encode(order),
-            headers={"Content-Type": "application/json"},
-            timeout_s=ORDER_TIMEOUT_S,
-            allowed=(
-                http.HTTPStatus.OK,
-                http.HTTPStatus.ACCEPTED,
-                http.HTTPStatus.CONFLICT,
-                http.HTTPStatus.PRECONDITION_FAILED,
-            ),
-        )
+        pool = _connection_pool(self.address, 1)
+        try:
+            answer = self._call(
+                "POST",
+                "/v1/order",
+                pool=pool,
+                body=msgspec.json.encode(order),
+                headers={"Content-Type": "application/json"},
+                timeout_s=ORDER_TIMEOUT_S,
+                allowed=(
+                    http.HTTPStatus.OK,
+                    http.HTTPStatus.ACCEPTED,
+                    http.HTTPStatus.CONFLICT,
+                    http.HTTPStatus.PRECONDITION_FAILED,
+                ),
+            )
+        finally:
+            pool.close()
         return answer.status in (http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED)
 
     def _call(
@@ -223,6 +239,7 @@
         method: str,
         path: str,
         *,
+        pool: urllib3.HTTPConnectionPool | None = None,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         timeout_s: float = LOCAL_TIMEOUT_S,
@@ -240,7 +257,7 @@
             )
         try:
             answer = bounded_http.request(
-                self.pool,
+                pool or self.pool,
                 method,
                 path,
                 max_bytes=MAX_PIECE_BYTES,
--- a/zinniadyke/sidecar/_weights_fetcher.py
+++ b/zinniadyke/sidecar/_weights_fetcher.py
@@ -133,6 +133,7 @@
             ]
             if not corrupt_pieces:
                 return
+            self.target.replace_connections()
             LOG.info(
                 "staged pieces corrupt or missing, staging them again",
                 extra={
