--- a/tests/gateway/test_reported_failures.py
+++ b/tests/gateway/test_reported_failures.py
@@ -1,5 +1,7 @@
 """Failures that operators of similar systems met, on our own processes."""
 
+import time
+
 import eventlet
 import pytest
 
@@ -7,6 +9,7 @@
 from zinniadyke import errors
 from zinniadyke import fakes
 from zinniadyke import gateway
+from zinniadyke.gateway import _gateway
 from zinniadyke import platform
 
 REPORT = (
@@ -116,6 +119,14 @@
     server.stop()
 
 
+def removed_from_balancer(system):
+    """Whether the load balancer opens no more connections to the gateway."""
+    since = system.gateway.stopping_since
+    return since is not None and (
+        time.monotonic() > since + _gateway.BALANCER_REMOVAL_S
+    )
+
+
 def test_planned_stop_under_load_cuts_off_no_accepted_request():
     """Callers on kept and on new connections go on until the process ends."""
 
@@ -124,6 +135,7 @@
         exchange.answer(body=b"done")
 
     ended = []
+    stopped = []
 
     def keep_asking(system, number):
         """Ask on one connection until it closes between two requests."""
@@ -132,13 +144,13 @@
             b"X-Zinniadyke-Request-Id: q%d\r\n"
             b"X-Zinniadyke-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
         )
-        while True:
+        while not removed_from_balancer(system):
             try:
                 sock = system.connect()
             except OSError:
                 return
             number += 1000
-            while True:
+            while not stopped:
                 number += 1
                 try:
                     sock.sendall(request % number)
@@ -164,8 +176,6 @@
                 if b"connection: close" in head.lower():
                     break
             sock.close()
-            if system.gateway.stopping_since is not None and not data:
-                return
 
     with deploy.deployment(work, work, grace_s=8.0) as system:
         callers = [
@@ -175,9 +185,11 @@
         before = len(ended)
         assert before
         assert system.gateway.shut_down() is True
-        received = sum(len(t.seen) for t in system.targets)
+        # Callers read the answers that are on their way to them.
+        stopped.append(True)
         for caller in callers:
-            caller.kill()
+            caller.wait()
+        received = sum(len(t.seen) for t in system.targets)
     statuses = {status for status, _ in ended}
     assert statuses <= {200, 503}
     answered = sum(status == 200 for status, _ in ended)
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -11,6 +11,7 @@
 from zinniadyke import directory
 from zinniadyke.gateway import _target_table
 from zinniadyke import reports
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -117,6 +118,11 @@
             target = state.target
             if _starts_differ(report.born_ms, target.born_ms):
                 continue
+            state.agent_reported_at = time.monotonic()
+            if report.sent_ms:
+                state.report_delay.record(
+                    report.sent_ms / MS_PER_S, uptime.now_s()
+                )
             state.entries = max(report.entries, 1)
             state.local_entries = report.local_entries
             state.record_load(report.running, report.waiting)
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -19,6 +19,14 @@
 # Penalty, in requests, of interrupting a stream: it resumes on another target,
 # which processes the prompt again, and the caller sees a long pause.
 INTERRUPTED_STREAM_LOAD = 8.0
+# Penalty, in requests, of a target whose agent is silent: it may be
+# down, but its slots are used when there are no others.
+SILENT_TARGET_LOAD = 6.0
+# Penalty, in requests, of each second that reports wait in a target's link;
+# requests and events wait there as long.
+LINK_DELAY_LOAD_PER_S = 10.0
+# Shorter delays are usual.
+MIN_LINK_DELAY_S = 0.1
 
 
 def choose_target(
@@ -50,12 +58,27 @@
         cost += INTERRUPTED_STREAM_LOAD * _interruption_probability(
             state.switches_at - now, mean_response_s
         )
+        cost += _link_load(state)
         cost += random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
     return best
 
 
+def _link_load(state: _target_state.TargetState) -> float:
+    """Return the penalty of a link that is cut off or congested.
+
+    Load: links that narrow, so that requests reach a target seconds late or
+    when their callers have left, and targets that crash under requests.
+    """
+    if state.silent:
+        return SILENT_TARGET_LOAD
+    delay_s = state.report_delay.delay_s
+    if delay_s < MIN_LINK_DELAY_S:
+        return 0.0
+    return LINK_DELAY_LOAD_PER_S * delay_s
+
+
 def _interruption_probability(
     remaining_s: float, mean_response_s: float
 ) -> float:
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -4,9 +4,13 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _report_delay
 
 # Older load reports are ignored. Agents report at least every 0.3 s.
 REPORT_MAX_AGE_S = 4.0
+# A target whose agent has been silent for this long may be down: two reports
+# are missing. The registration of one that crashed lapses only after seconds.
+SILENT_AFTER_S = 0.8
 # Requests that may queue inside an engine in addition to its slots.
 MAX_ENGINE_QUEUE = 0
 # First ejection time; it doubles with each further consecutive failure.
@@ -30,6 +34,11 @@
         Requests of all entries that run or wait there, as last reported.
     in_flight_at_report
         ``in_flight`` when the last report arrived.
+    agent_reported_at
+        Monotonic time of the last report of the target's agent; None before
+        the first.
+    report_delay
+        How long the agent's reports wait in the host's link.
     weights
         Version held of each model, as reported by the target's agent; more
         recent than the registration. None before the first report.
@@ -58,6 +67,8 @@
         self.reported_requests = 0
         self.in_flight_at_report = 0
         self.reported_at = float("-inf")
+        self.agent_reported_at: float | None = None
+        self.report_delay = _report_delay.ReportDelay()
         self.entries = 1
         self.local_entries = 0
         self.slot_share = 0
@@ -109,6 +120,13 @@
         """Send nothing to the target for a time that it asked for."""
         self.closed_until = max(self.closed_until, time.monotonic() + seconds)
 
+    @property
+    def silent(self) -> bool:
+        """Whether the target's agent has stopped reporting."""
+        return self.agent_reported_at is not None and (
+            time.monotonic() > self.agent_reported_at + SILENT_AFTER_S
+        )
+
     @property
     def closed(self) -> bool:
         """Whether the target wants no request from this host now."""
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -54,6 +54,8 @@
         Whether the target said that it is leaving.
     local_entries
         Number of the subscribed entries in the target's region.
+    sent_ms
+        Uptime of the agent's host when it sent the report; 0 if unknown.
     """
 
     address: str
@@ -67,6 +69,7 @@
     named: VersionAgesMs
     leaving: bool = False
     local_entries: int = 0
+    sent_ms: int = 0
 
 
 class PieceQuery(
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -13,6 +13,7 @@
 from zinniadyke import errors
 from zinniadyke import platform
 from zinniadyke import reports
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -153,6 +154,7 @@
                 named=self.view.desired_weights_ages_ms(),
                 leaving=report.leaving,
                 local_entries=len(self.local_subscribers),
+                sent_ms=int(uptime.now_s() * MS_PER_S),
             )
         )
 
@@ -191,7 +193,10 @@
         ):
             return False
         return report == msgspec.structs.replace(
-            last, named=report.named, switch_in_ms=report.switch_in_ms
+            last,
+            named=report.named,
+            switch_in_ms=report.switch_in_ms,
+            sent_ms=report.sent_ms,
         )
 
     def _note_failure(self, error: errors.EngineError) -> None:
