Agents keep to a Retry-After while other calls end; claims that aged out

Cause, found by reading: an answer to a call that was on its way ended the time for which the server wanted no calls; a recent claim that aged out, or a conflict, while claims were written again ended the writing of the rest.

Change: the latest time counts; both cases are left out and logged. The test of the first failed before; headers_of is header_names.

--- a/tests/gateway/test_reported_failures.py
+++ b/tests/gateway/test_reported_failures.py
@@ -268,3 +268,29 @@
         found = None
     assert found in (9, None)
     store.stop()
+
+
+def test_server_that_asks_for_time_gets_no_call_of_its_agent():
+    """Answers to calls that were on their way do not end the time."""
+    calls = []
+
+    def script(exchange):
+        calls.append(exchange.request_line)
+        if "order" in exchange.request_line:
+            exchange.answer(503, b"", Retry_After="5")
+            return
+        eventlet.sleep(0.1)
+        exchange.answer(body=REPORT % 3)
+
+    server = fakes.ScriptedTarget(script=script)
+    client = platform.ModelServerClient(address=server.address)
+    report = eventlet.spawn(client.report, 16)
+    eventlet.sleep(0.02)
+    with pytest.raises(errors.EngineError):
+        client.load("m", 2, orders_begun=3, cancel_running=False)
+    assert report.wait().orders_begun == 3
+    for _ in range(5):
+        with pytest.raises(errors.EngineError):
+            client.report(16)
+    assert len(calls) == 2
+    server.stop()
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -15,7 +15,7 @@
 from zinniadyke import ids
 from zinniadyke.platform import _decode_target
 from zinniadyke.platform import _retry_after
-from zinniadyke.platform import headers as headers_of
+from zinniadyke.platform import headers as header_names
 
 # The model server on the same host answers at once.
 LOCAL_TIMEOUT_S = 0.5
@@ -135,7 +135,7 @@
             decoded = msgspec.json.decode(answer.data, type=_Report)
         except msgspec.MsgspecError as error:
             raise errors.EngineError(f"unreadable report: {error}")
-        if answer.headers.get(headers_of.LEAVING) == "1":
+        if answer.headers.get(header_names.LEAVING) == "1":
             self.leaving_born_ms = decoded.born
         return EngineReport(
             running=decoded.running,
@@ -270,7 +270,9 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise errors.EngineError(f"{method} {path}: {error}")
-        self.closed_until = _closed_until(answer, self.address)
+        self.closed_until = max(
+            self.closed_until, _closed_until(answer, self.address)
+        )
         if answer.status not in allowed:
             raise errors.EngineError(
                 f"{method} {path}: status {answer.status}"
@@ -369,7 +371,9 @@
                 f"GET {path}: {error}",
                 code=errors.ResultCode.ORIGIN_UNAVAILABLE,
             )
-        self.closed_until = _closed_until(answer, self.address)
+        self.closed_until = max(
+            self.closed_until, _closed_until(answer, self.address)
+        )
         if answer.status == http.HTTPStatus.GONE:
             raise errors.WeightsError(
                 f"GET {path}: removed from the origin",
@@ -388,7 +392,7 @@
     if answer.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
         return float("-inf")
     seconds = _retry_after.parse_retry_after(
-        answer.headers.get(headers_of.RETRY_AFTER, ""), address
+        answer.headers.get(header_names.RETRY_AFTER, ""), address
     )
     return time.monotonic() + seconds if seconds else float("-inf")
 
--- a/zinniadyke/requests/_claims.py
+++ b/zinniadyke/requests/_claims.py
@@ -214,7 +214,7 @@
                 try:
                     written += self._restore_claim(key)
                     break
-                except errors.PlatformError as error:
+                except errors.ZinniadykeError as error:
                     LOG.warning(
                         "claim not written again yet",
                         extra={"reason": error.message},
@@ -231,6 +231,9 @@
 
         def restore(value: bytes | None) -> bytes | None:
             nonlocal lacked
+            if key not in self.recent:
+                # Too old by now.
+                return None
             claim = self.recent[key][0]
             found = None
             if value is not None:
