Agents log how many peers a fetch of weights begins with

The record of a recovery that failed showed agents reading everything from the origin, and nothing that said why: no line told how many peers an agent knew when it began, nor how old that list was. The new line separates an agent that knows no peers from one whose peers do not answer.

--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -223,6 +223,17 @@
         fetcher = self._make_fetcher(model, store)
         if not self._held_version(model):
             fetcher.reuse_staged()
+        LOG.info(
+            "fetching weights",
+            extra={
+                "model": model,
+                "version": version,
+                "missing": len(store.missing),
+                "peers": len(fetcher.swarm.peers),
+                "holders": len(fetcher.swarm.holders),
+                "peers_age_ms": _ms_since(self.targets_read_at),
+            },
+        )
         try:
             fetcher.fetch()
         except _weights_fetcher.SupersededError:
