--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -18,10 +18,13 @@
 class Fleet:
     """Agents and model servers, each host with a loopback address."""
 
-    def __init__(self, versions, version_ms=3000.0):
+    def __init__(
+        self, versions, version_ms=3000.0, registered=True, piece_delay_s=0.0
+    ):
         network = next(NETWORKS)
         self.store = fakes.FakeStore()
         self.origin = fakes.FakeWeightsOrigin(pieces=PIECES)
+        self.origin.piece_delay_s = piece_delay_s
         self.port = deploy.free_port()
         self.version_ms = version_ms
         self.ips = [f"127.7.{network}.{n + 1}" for n in range(len(versions))]
@@ -35,7 +38,8 @@
                 version=version,
                 address=f"{ip}:0",
             )
-            self.register(ip)
+            if registered:
+                self.register(ip)
         for ip in self.ips:
             self.start(ip)
 
@@ -162,6 +166,16 @@
         assert made.origin.reads == 0
 
 
+def test_agents_that_start_before_targets_register_share_one_origin_copy():
+    with fleet(0, 0, 0, 0, registered=False, piece_delay_s=0.5) as made:
+        assert deploy.wait_until(lambda: made.origin.reads >= len(made.ips))
+        for ip in made.ips:
+            made.register(ip)
+        assert made.all_hold(1)
+        made.check_loads()
+        assert made.origin.reads < 2 * PIECES
+
+
 def test_corrupt_pieces_are_never_loaded():
     with fleet(1, 1) as made:
         made.origin.corrupt_on_read = {(2, n) for n in range(0, PIECES, 2)}
--- a/zinniadyke/fakes/_model_server.py
+++ b/zinniadyke/fakes/_model_server.py
@@ -135,11 +135,14 @@
         Version and index of pieces that are corrupted on their next read.
     corrupt_manifest_versions
         Versions whose next manifest contains a wrong digest.
+    piece_delay_s
+        Time that each read of a piece takes, in seconds.
     """
 
     def __init__(self, *, pieces: int, address: str = "127.0.0.1:0") -> None:
         """Start listening."""
         self.pieces = pieces
+        self.piece_delay_s = 0.0
         self.reads = 0
         self.manifest_reads = 0
         self.corrupt_manifest_versions: set[int] = set()
@@ -170,6 +173,7 @@
             )
         index = int(query["item_count"][0])
         self.reads += 1
+        eventlet.sleep(self.piece_delay_s)
         piece = expected_piece(version, index)
         if (version, index) in self.corrupt_on_read:
             self.corrupt_on_read.discard((version, index))
