Agents list their peers again while they fetch weights

Callers: after a loss of all power 25 of 310 requests were served 12 s after the machines were back; models answered nothing for 18 s.

Cause: an agent decided once, as it began to fetch, who its peers are. After a restart of all hosts every agent began before the targets had registered again, took itself for alone, read all pieces from the origin and asked nobody until the end: ten copies of 2 MiB over the origin's 9.9 Mbit/s. Class of fault: membership read once at the start of a long operation.

Ruled out: versions known late (known 0.3 s after the agents' start), targets not used though loaded (first order accepted 17 s later).

Change: the list is read again during a fetch, after 0.5, 1, 2, 4 s while this host is not on it itself and every 4 s otherwise, and the swarm assigns the missing pieces anew. A known peer that is no longer listed stays while it answers, as registrations also lapse while the store is away. The times after which agents stop waiting for one another count from the first known peer.

--- a/tests/sidecar/test_piece_selection.py
+++ b/tests/sidecar/test_piece_selection.py
@@ -214,3 +214,33 @@
     assert any(found.is_origin_reader(n) for n in range(COUNT))
     found.update_peer_pieces(peers[0].host_ip, set(range(COUNT)))
     assert found.holders == [peers[0]]
+
+
+def test_pieces_are_assigned_anew_when_agents_register_during_a_fetch():
+    alone = swarm(PEERS[0], [])
+    assert alone.is_alone
+    assert all(alone.is_origin_reader(n) for n in range(COUNT))
+    assert alone.update_peers(PEERS)
+    assert not alone.is_alone
+    assert [n for n in range(COUNT) if alone.is_origin_reader(n)] == OWN
+    assert alone.hosts_to_watch() == swarm(PEERS[0]).hosts_to_watch()
+    assert not alone.update_peers(PEERS)
+
+
+def test_peer_that_answers_stays_when_its_registration_lapses():
+    found = swarm(PEERS[0])
+    assert not found.update_peers([PEERS[0]])
+    assert found.peers == PEERS
+
+
+def test_unreachable_peer_goes_with_its_registration():
+    found = swarm(PEERS[0])
+    found.set_unreachable(PEERS[1].host_ip, True)
+    assert found.update_peers([PEERS[0]])
+    assert found.peers == [PEERS[0], *PEERS[2:]]
+
+
+def test_peer_that_has_loaded_the_version_becomes_a_holder():
+    found = swarm(PEERS[0])
+    assert found.update_peers([peer(1, holds_version=True)])
+    assert [p.host_ip for p in found.holders] == [PEERS[1].host_ip]
--- a/zinniadyke/sidecar/_piece_selection.py
+++ b/zinniadyke/sidecar/_piece_selection.py
@@ -92,16 +92,47 @@
     def __init__(self, *, me: Peer, peers: list[Peer], count: int) -> None:
         """Assign ``count`` pieces."""
         self.me = me
-        self.peers = peers
+        self.peers: list[Peer] = []
         self.count = count
         self.unreachable: set[str] = set()
         self.incomplete: set[str] = set()
         self.holders: list[Peer] = []
+        self.regions: dict[str, str] = {}
+        self.origin_readers = _assign_pieces(count, [])
+        self.relays = _assign_pieces(count, [])
+        self.update_peers(peers)
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other agent is known."""
+        return all(p.host_ip == self.me.host_ip for p in self.peers)
+
+    def update_peers(self, listed: list[Peer]) -> bool:
+        """Replace the peers; return whether this changed them.
+
+        A peer that is no longer listed stays while it answers, as
+        registrations also lapse while the store is away.
+        """
+        listed_ips = {p.host_ip for p in listed}
+        answering = [
+            p
+            for p in self.peers
+            if p.host_ip not in listed_ips | self.unreachable
+        ]
+        peers = sorted([*listed, *answering], key=lambda p: p.host_ip)
+        if peers == self.peers:
+            return False
+        self.peers = peers
         self.update_holders()
-        self.regions = {p.host_ip: p.region for p in peers}
-        regional = [p for p in peers if p.region == me.region]
-        self.origin_readers = _assign_pieces(count, [p.host_ip for p in peers])
-        self.relays = _assign_pieces(count, [p.host_ip for p in regional])
+        regions = {p.host_ip: p.region for p in peers}
+        if regions != self.regions:
+            self.regions = regions
+            self.origin_readers = _assign_pieces(self.count, list(regions))
+            self.relays = _assign_pieces(
+                self.count,
+                [h for h, r in regions.items() if r == self.me.region],
+            )
+        return True
 
     def update_holders(self) -> None:
         """Find the reachable agents that have all pieces."""
--- a/zinniadyke/sidecar/_weights_fetcher.py
+++ b/zinniadyke/sidecar/_weights_fetcher.py
@@ -56,6 +56,9 @@
         Indexes of the pieces being transferred.
     corrupt_pieces
         Number of reads from the origin with a wrong digest, by index.
+    shared_since
+        Monotonic time since which this agent shares the reading of the
+        origin: the start of the fetch, or when it first knew a peer.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         )
         self.in_flight_pieces: set[int] = set()
         self.corrupt_pieces: collections.Counter[int] = collections.Counter()
+        self.shared_since = time.monotonic()
         self.from_origin = 0
         self.from_peers = 0
 
@@ -100,6 +104,7 @@
         WeightsError
             The digests do not match the pieces that the origin sends.
         """
+        self.shared_since = time.monotonic()
         watcher = eventlet.spawn(
             self.piece_exchange.watch_peers,
             self.store,
@@ -112,6 +117,24 @@
         finally:
             watcher.kill()
 
+    def update_peers(self, listed: list[_piece_selection.Peer]) -> None:
+        """Share what is still missing with the agents that are listed now."""
+        was_alone = self.swarm.is_alone
+        if not self.swarm.update_peers(listed):
+            return
+        if was_alone:
+            self.shared_since = time.monotonic()
+        LOG.info(
+            "peers changed during a fetch",
+            extra={
+                "version": self.store.version,
+                "missing": len(self.store.missing),
+                "peers": len(self.swarm.peers),
+                "holders": len(self.swarm.holders),
+            },
+        )
+        self.store.changed.send()
+
     def stage_and_verify(self) -> None:
         """Stage the pieces at the target until all read back correctly.
 
@@ -161,7 +184,6 @@
             )
 
     def _fetch_missing(self) -> None:
-        started_at = time.monotonic()
         while self.store.missing:
             if self.wanted_version() != self.store.version:
                 LOG.info(
@@ -201,7 +223,7 @@
                     self.requests_in_flight,
                     origin_allowed=self.requests_in_flight[""]
                     < MAX_CONCURRENT_ORIGIN_READS,
-                    age_s=time.monotonic() - started_at,
+                    age_s=time.monotonic() - self.shared_since,
                 )
             if request is None:
                 self.store.changed.wait(POLL_INTERVAL_S)
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -42,6 +42,11 @@
 UNSUBSCRIBED_REFRESH_S = 2.0
 # Maximum age of the list of peers.
 PEERS_REFRESH_S = 2.0
+# Interval between lists of peers while a version is fetched.
+FETCH_PEERS_REFRESH_S = 4.0
+# The same at first while this host is not listed, as after a restart of all
+# hosts; doubles with each list.
+UNLISTED_PEERS_REFRESH_S = 0.5
 # Pieces are released from memory this long after the last peer request.
 PIECES_IDLE_TIMEOUT_S = 10.0
 # Version that targets load while no version has been named.
@@ -234,6 +239,7 @@
                 "peers_age_ms": _ms_since(self.targets_read_at),
             },
         )
+        refresher = eventlet.spawn(self._refresh_peers, fetcher)
         try:
             fetcher.fetch()
         except _weights_fetcher.SupersededError:
@@ -244,6 +250,7 @@
             self.peer_server.drop_store(store)
             raise
         finally:
+            refresher.kill()
             self._origin().close_idle()
         LOG.info(
             "weights fetched",
@@ -423,30 +430,61 @@
     def _make_swarm(
         self, model: ids.ModelName, version: ids.WeightsVersion
     ) -> _piece_selection.Swarm:
-        my_ip = self.settings.host.ip
-        peers = _piece_selection.list_peers(
-            self._service_targets(),
-            self.regions,
-            model=model,
-            version=version,
-            my_ip=my_ip,
-        )
         me = _piece_selection.Peer(
-            host_ip=my_ip,
+            host_ip=self.settings.host.ip,
             region=self.settings.host.region,
             holds_version=False,
         )
         return _piece_selection.Swarm(
-            me=me, peers=peers, count=self._piece_count()
+            me=me,
+            peers=self._list_peers(model, version),
+            count=self._piece_count(),
+        )
+
+    def _list_peers(
+        self, model: ids.ModelName, version: ids.WeightsVersion
+    ) -> list[_piece_selection.Peer]:
+        return _piece_selection.list_peers(
+            self._service_targets(),
+            self.regions,
+            model=model,
+            version=version,
+            my_ip=self.settings.host.ip,
         )
 
+    def _refresh_peers(self, fetcher: _weights_fetcher.WeightsFetcher) -> None:
+        """Update the peers of a fetch as targets register, forever."""
+        store = fetcher.store
+        pause_s = UNLISTED_PEERS_REFRESH_S
+        while True:
+            my_ip = self.settings.host.ip
+            if any(p.host_ip == my_ip for p in fetcher.swarm.peers):
+                pause_s = FETCH_PEERS_REFRESH_S
+            eventlet.sleep(pause_s)
+            pause_s = min(2 * pause_s, FETCH_PEERS_REFRESH_S)
+            try:
+                self._read_targets()
+                fetcher.update_peers(
+                    self._list_peers(store.model, store.version)
+                )
+            except errors.ZinniadykeError as error:
+                LOG.info(
+                    "cannot list peers, those known are kept",
+                    extra={"reason": error.message},
+                )
+            except Exception:
+                LOG.exception("unexpected error in list of peers")
+
     def _service_targets(self) -> list[directory.Target]:
         """Return the service's targets; read them again if stale."""
         if time.monotonic() - self.targets_read_at > PEERS_REFRESH_S:
-            self.targets.relist()
-            self.targets_read_at = time.monotonic()
+            self._read_targets()
         return self.view.targets_of_service(self._service())
 
+    def _read_targets(self) -> None:
+        self.targets.relist()
+        self.targets_read_at = time.monotonic()
+
     def _holds_version(self, model: str, version: int) -> bool:
         return self._held_version(ids.ModelName(model)) == version
 
