Agents fetch and load weights while the store does not answer

Callers: while the store was away ten agents held all pieces of the new version for 4 s and none loaded it; entries had stopped using the old version, so every request of a model got 503. Then a loss of power took the pieces, which were not yet staged at the targets, and the fetch began anew.

Cause: loading made a fetcher, and with it the list of peers, although it asks no peer; a list older than 2 s that could not be read failed the step, and so did the list of versions before a fetch. Class of fault: work that does not need the store waits for it.

Staging is a module of its own that needs no peers. An agent that no store and no entry has told a version fetches nothing.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -4,7 +4,9 @@
 import eventlet
 
 from tests.gateway import deployment as deploy
+from zinniadyke import errors
 from zinniadyke import fakes
+from zinniadyke import platform
 from zinniadyke import settings
 from zinniadyke import sidecar
 from zinniadyke.sidecar import _peer_client
@@ -176,6 +178,42 @@
         assert made.origin.reads < 2 * PIECES
 
 
+def test_fetched_weights_are_loaded_while_the_store_is_away():
+    with fleet(1, 1, piece_delay_s=0.5) as made:
+        made.name(2)
+        assert deploy.wait_until(lambda: made.origin.reads > 0)
+        made.store.down = 503
+        assert made.all_hold(2)
+        made.check_loads()
+
+
+def test_weights_that_entries_report_while_the_store_is_away_are_fetched():
+    with fleet(1, 1) as made:
+        made.store.down = 503
+        eventlet.sleep(2.5)
+        made.name(2)
+        assert made.all_hold(2)
+        made.check_loads()
+
+
+def test_empty_target_gets_nothing_while_no_named_version_is_known(
+    monkeypatch,
+):
+    def cannot_list(store, kind, *, stale=False):
+        if kind == "versions":
+            raise errors.PlatformError("down")
+        return list_objects(store, kind, stale=stale)
+
+    list_objects = platform.StoreClient.list_objects
+    monkeypatch.setattr(platform.StoreClient, "list_objects", cannot_list)
+    with fleet(0, 2) as made:
+        eventlet.sleep(1.0)
+        assert made.origin.reads == 0
+        made.name(2)
+        assert made.all_hold(2)
+        made.check_loads()
+
+
 def test_corrupt_pieces_are_never_loaded():
     with fleet(1, 1) as made:
         made.origin.corrupt_on_read = {(2, n) for n in range(0, PIECES, 2)}
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -129,6 +129,15 @@
         self.revision = None
         self.step()
 
+    def try_relist(self) -> bool:
+        """List all objects now; return whether the store answered."""
+        try:
+            self.relist()
+        except errors.PlatformError as error:
+            self._record_failure(error)
+            return False
+        return True
+
     def redeliver(self) -> None:
         """Call ``on_update`` again with the present objects."""
         self.on_update({**self.lapsed, **self.objects})
--- a/zinniadyke/sidecar/_weights_fetcher.py
+++ b/zinniadyke/sidecar/_weights_fetcher.py
@@ -1,4 +1,4 @@
-"""Fetches one version of a model's weights and stages its pieces."""
+"""Fetches the pieces of one version of a model's weights."""
 
 import collections
 from collections.abc import Callable
@@ -28,8 +28,6 @@
 # If the origin sends the same piece with a wrong digest this often, the
 # digests are considered wrong.
 MAX_CORRUPT_ORIGIN_READS = 3
-# Rounds of reading back and staging pieces before a load is given up.
-MAX_VERIFY_ROUNDS = 5
 
 
 class SupersededError(errors.WeightsError):
@@ -37,7 +35,7 @@
 
 
 class WeightsFetcher:
-    """Fetches one version and stages its pieces at the target.
+    """Fetches the missing pieces of one version from peers and the origin.
 
     Parameters
     ----------
@@ -64,7 +62,6 @@
     def __init__(
         self,
         *,
-        target: platform.ModelServerClient,
         origin: platform.OriginClient,
         store: _pieces.PieceStore,
         swarm: _piece_selection.Swarm,
@@ -75,7 +72,6 @@
         piece_bytes: int,
     ) -> None:
         """Start with the pieces that the store already has."""
-        self.target = target
         self.origin = origin
         self.store = store
         self.swarm = swarm
@@ -135,54 +131,6 @@
         )
         self.store.changed.send()
 
-    def stage_and_verify(self) -> None:
-        """Stage the pieces at the target until all read back correctly.
-
-        Each round reads the staged pieces back and stages those that are
-        missing or wrong; the first round thus stages the new version.
-
-        Raises
-        ------
-        WeightsError
-            Pieces are still corrupt after the last round.
-        """
-        for _ in range(MAX_VERIFY_ROUNDS):
-            corrupt_pieces = [
-                index
-                for index in range(len(self.store.digests))
-                if not self.store.matches(
-                    index, self.target.read_piece(self.store.model, index)
-                )
-            ]
-            if not corrupt_pieces:
-                return
-            self.target.replace_connections()
-            LOG.info(
-                "staged pieces corrupt or missing, staging them again",
-                extra={
-                    "version": self.store.version,
-                    "pieces": len(corrupt_pieces),
-                },
-            )
-            for index in corrupt_pieces:
-                self.target.stage_piece(
-                    self.store.model, index, self.store.pieces[index]
-                )
-        raise errors.WeightsError(code=errors.ResultCode.CHUNK_CORRUPT)
-
-    def reuse_staged(self) -> None:
-        """Add the pieces already staged at the target if they match."""
-        try:
-            held = self.target.staged_pieces(self.store.model)
-            for index in sorted(held & set(self.store.missing)):
-                self.store.add(
-                    index, self.target.read_piece(self.store.model, index)
-                )
-        except errors.EngineError as error:
-            LOG.warning(
-                "cannot read staged pieces", extra={"reason": error.message}
-            )
-
     def _fetch_missing(self) -> None:
         while self.store.missing:
             if self.wanted_version() != self.store.version:
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -13,6 +13,7 @@
 from zinniadyke import platform
 from zinniadyke import reports
 from zinniadyke import settings
+from zinniadyke.sidecar import _list_reader
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _manifest
 from zinniadyke.sidecar import _peer_client
@@ -21,6 +22,7 @@
 from zinniadyke.sidecar import _piece_selection
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _schedule
+from zinniadyke.sidecar import _staging
 from zinniadyke.sidecar import _weights_fetcher
 from zinniadyke import telemetry
 from zinniadyke import uptime
@@ -65,8 +67,7 @@
     Attributes
     ----------
     configuration, targets, versions
-        Followers that update ``view`` from the store; without tasks of their
-        own, they read only when called here.
+        Update ``view`` from the store when their lists are needed.
     """
 
     def __init__(
@@ -89,11 +90,15 @@
         self.bucket = bucket
         # Peers and the engine's profile may be seconds old; the versions that
         # operators name may not.
-        self.configuration = platform.follow_configuration(
-            store, view, stale=True
+        self.configuration = _list_reader.ListReader(
+            follower=platform.follow_configuration(store, view, stale=True)
+        )
+        self.targets = _list_reader.ListReader(
+            follower=platform.follow_targets(store, view, stale=True)
+        )
+        self.versions = _list_reader.ListReader(
+            follower=platform.follow_versions(store, view)
         )
-        self.targets = platform.follow_targets(store, view, stale=True)
-        self.versions = platform.follow_versions(store, view)
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
         # Pieces of versions whose digests did not match the origin's bytes.
@@ -115,8 +120,6 @@
         )
         peer_server.holds_version = self._holds_version
         peer_server.piece_count = self._piece_count
-        self.targets_read_at = float("-inf")
-        self.versions_read_at = float("-inf")
         self.changed = directory.Signal()
         view.on_change.append(self.changed.send)
 
@@ -148,7 +151,11 @@
         """Fetch the version to load next, or the one after it."""
         self._refresh_lists()
         model = self._model()
-        if model is None or self.reporter.latest is None:
+        if (
+            model is None
+            or self.reporter.latest is None
+            or not self._knows_versions(model)
+        ):
             self.changed.wait(RETRY_DELAY_S)
             return
         version = self._version_to_fetch(model)
@@ -176,7 +183,7 @@
             self.changed.wait(min(remaining_s, SWITCH_POLL_INTERVAL_S))
             return
         started = time.monotonic()
-        self._make_fetcher(model, store).stage_and_verify()
+        _staging.stage_and_verify(self.target, store)
         done = self._load(model, store.version)
         telemetry.count(
             telemetry.Metric.ORDERS, label="loaded" if done else "not loaded"
@@ -199,17 +206,20 @@
 
     def _refresh_lists(self) -> None:
         """Read the configuration if missing and the versions if stale."""
-        now = time.monotonic()
         if self.view.configuration is None:
-            self.configuration.step()
-        refresh_s = (
+            self.configuration.refresh(max_age_s=0.0)
+        self.versions.refresh(
             VERSIONS_REFRESH_S
             if self.reporter.subscribers
             else UNSUBSCRIBED_REFRESH_S
         )
-        if now - self.versions_read_at > refresh_s:
-            self.versions.relist()
-            self.versions_read_at = now
+
+    def _knows_versions(self, model: ids.ModelName) -> bool:
+        """Whether the store or an entry has told the named versions."""
+        return (
+            self.view.listed_versions is not None
+            or model in self.view.desired_since
+        )
 
     def _fetch(
         self, model: ids.ModelName, version: ids.WeightsVersion
@@ -227,7 +237,7 @@
                 store.reuse_pieces(self.rejected_stores[model, version])
         fetcher = self._make_fetcher(model, store)
         if not self._held_version(model):
-            fetcher.reuse_staged()
+            _staging.reuse_staged(self.target, store)
         LOG.info(
             "fetching weights",
             extra={
@@ -236,7 +246,7 @@
                 "missing": len(store.missing),
                 "peers": len(fetcher.swarm.peers),
                 "holders": len(fetcher.swarm.holders),
-                "peers_age_ms": _ms_since(self.targets_read_at),
+                "peers_age_ms": _age_ms(self.targets),
             },
         )
         refresher = eventlet.spawn(self._refresh_peers, fetcher)
@@ -416,7 +426,6 @@
         self, model: ids.ModelName, store: _pieces.PieceStore
     ) -> _weights_fetcher.WeightsFetcher:
         return _weights_fetcher.WeightsFetcher(
-            target=self.target,
             origin=self._origin(),
             store=store,
             swarm=self._make_swarm(model, store.version),
@@ -463,28 +472,18 @@
             eventlet.sleep(pause_s)
             pause_s = min(2 * pause_s, FETCH_PEERS_REFRESH_S)
             try:
-                self._read_targets()
+                self.targets.refresh(max_age_s=0.0)
                 fetcher.update_peers(
                     self._list_peers(store.model, store.version)
                 )
-            except errors.ZinniadykeError as error:
-                LOG.info(
-                    "cannot list peers, those known are kept",
-                    extra={"reason": error.message},
-                )
             except Exception:
                 LOG.exception("unexpected error in list of peers")
 
     def _service_targets(self) -> list[directory.Target]:
         """Return the service's targets; read them again if stale."""
-        if time.monotonic() - self.targets_read_at > PEERS_REFRESH_S:
-            self._read_targets()
+        self.targets.refresh(PEERS_REFRESH_S)
         return self.view.targets_of_service(self._service())
 
-    def _read_targets(self) -> None:
-        self.targets.relist()
-        self.targets_read_at = time.monotonic()
-
     def _holds_version(self, model: str, version: int) -> bool:
         return self._held_version(ids.ModelName(model)) == version
 
@@ -537,5 +536,11 @@
         return self.origin
 
 
+def _age_ms(reader: _list_reader.ListReader) -> int | None:
+    """Return the age of a list, in ms; None if it was never read."""
+    age_s = reader.age_s
+    return None if age_s == float("inf") else int(age_s * MS_PER_S)
+
+
 def _ms_since(moment: float) -> int:
     return int((time.monotonic() - moment) * MS_PER_S)
