Learn from crashes which prompt parts crash targets, and refuse them

Cause: requests were repeated without asking what had become of their target, and nothing remembered what crashes had in common. Class of fault: a failure that follows the input is treated as one of the machine.

Evidence: in a trial with parts in the logs one part was among the requests not yet begun at each of the first eight crashes and never answered; the others at most five times, and answered 6 to 46 times.

Change: entries tell the target's agent what a closed connection cut off before the target went on writing; the agent checks whether the target runs on, and sends what all entries told to all of them; each entry's ledger (CrashLedger, find_causes) refuses the part that explains the crashes, with 3008 (503, not run, Retry-After), withdraws attempts with it that still wait, and tells the others through two agents a region. A part with which a request is served is cleared, everywhere. Datagrams with new tags; processes of earlier builds log them as unreadable.

--- /dev/null
+++ b/tests/requests/test_crash_ledger.py
@@ -0,0 +1,158 @@
+import random
+
+from tests import clock
+from zinniadyke import requests
+
+BOUNDS_S = 60.0
+
+
+class Ledger(requests.CrashLedger):
+    """A ledger with a manual clock that records what it announces."""
+
+    def __init__(self):
+        self.manual = clock.Clock()
+        super().__init__(clock=self.manual.monotonic)
+        self.found, self.cleared = [], []
+        self.on_refused = self.found.append
+        self.on_cleared = self.cleared.append
+
+    def crash(self, name, *suspects, after_s=1.0):
+        """Record a crash whose suspects are named by their parts."""
+        self.manual.now += after_s
+        self.record_crash(
+            name,
+            self.manual.now,
+            {
+                f"{name}-{n}": frozenset(parts.split())
+                for n, parts in enumerate(suspects)
+            },
+        )
+
+    def serve(self, parts, after_s=0.1):
+        self.manual.now += after_s
+        self.record_served(frozenset(parts.split()))
+
+
+def test_part_that_all_crashes_have_in_common_is_refused():
+    ledger = Ledger()
+    for number in range(3):
+        ledger.crash(number, "shared bad", f"shared own{number}")
+        ledger.serve("shared")
+    assert ledger.found == ["bad"]
+    assert 0 < ledger.refused_for_s(["bad", "shared"]) <= BOUNDS_S
+    assert ledger.refused_for_s(["shared"]) == 0
+
+
+def test_part_of_a_single_repeated_request_is_not_refused():
+    ledger = Ledger()
+    for number in range(4):
+        ledger.manual.now += 1.0
+        ledger.record_crash(number, ledger.manual.now, {"r": {"once"}})
+        ledger.serve("other")
+    assert ledger.found == []
+
+
+def test_nothing_is_refused_while_nothing_is_served():
+    """All targets lose power again and again."""
+    ledger = Ledger()
+    for number in range(6):
+        ledger.crash(number, "shared a", "shared b")
+    assert ledger.found == []
+
+
+def test_crashes_at_the_same_moment_count_as_one():
+    ledger = Ledger()
+    for number in range(6):
+        ledger.crash(number, "shared rare", "shared rare", after_s=0.01)
+    ledger.serve("other")
+    assert ledger.found == []
+
+
+def test_part_that_is_served_between_crashes_is_not_refused():
+    ledger = Ledger()
+    for number in range(6):
+        ledger.crash(number, "shared", "shared")
+        ledger.serve("shared")
+    assert ledger.found == []
+    assert ledger.cleared == ["shared"] * 6
+
+
+def test_part_served_before_yields_to_one_that_never_was():
+    ledger = Ledger()
+    ledger.serve("shared")
+    for number in range(3):
+        ledger.crash(number, "shared bad", "shared bad")
+    ledger.serve("other")
+    assert ledger.found == ["bad"]
+
+
+def test_crashes_that_a_refused_part_explains_convict_no_other():
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(3):
+        ledger.crash(number, "bad", f"x{number}")
+        ledger.serve("other")
+    for number in range(3, 6):
+        ledger.crash(number, "bad", "late", "late")
+        ledger.serve("other")
+    assert ledger.found == ["bad"]
+
+
+def test_two_parts_with_crashes_of_their_own_are_both_refused():
+    ledger = Ledger()
+    for number in range(8):
+        bad = "bad1" if number % 2 else "bad2"
+        ledger.crash(number, f"shared {bad}", f"shared x{number}")
+        ledger.serve("shared")
+    assert sorted(ledger.found) == ["bad1", "bad2"]
+
+
+def test_equals_are_refused_only_after_more_crashes():
+    ledger = Ledger()
+    for number in range(5):
+        assert ledger.found == []
+        ledger.crash(number, "one two", "one two")
+        ledger.serve("other")
+    assert sorted(ledger.found) == ["one", "two"]
+
+
+def test_refused_part_with_which_a_request_is_served_is_taken_back():
+    ledger = Ledger()
+    ledger.refuse("sound", 30.0)
+    assert ledger.refused_for_s(["sound"]) == 30.0
+    ledger.serve("sound")
+    assert ledger.refused_for_s(["sound"]) == 0
+    assert ledger.cleared == ["sound"]
+
+
+def test_refusal_ends_and_one_more_crash_brings_it_back_for_longer():
+    ledger = Ledger()
+    for number in range(3):
+        ledger.crash(number, "bad", f"x{number}")
+        ledger.serve("other")
+    first_s = ledger.refused_for_s(["bad"])
+    ledger.manual.now += first_s + 1.0
+    assert ledger.refused_for_s(["bad"]) == 0
+    ledger.crash("again", "bad", "y")
+    ledger.serve("other")
+    assert ledger.refused_for_s(["bad"]) > 1.5 * first_s
+
+
+def test_guilty_part_is_found_among_many_sound_requests():
+    """Load: one request in 20 crashes its target; 8 others wait there."""
+    for seed in range(50):
+        drawn = random.Random(seed)
+        ledger = Ledger()
+        for _ in range(50):
+            ledger.serve(f"first{drawn.randrange(10)}")
+        for number in range(5):
+            first = drawn.randrange(10)
+            ledger.crash(
+                number,
+                f"first{first} bad",
+                *(f"first{drawn.randrange(10)}" for _ in range(8)),
+                after_s=0.4,
+            )
+            for _ in range(3):
+                ledger.serve(f"first{drawn.randrange(10)}")
+        assert ledger.found == ["bad"], seed
--- a/zinniadyke/errors/_codes.py
+++ b/zinniadyke/errors/_codes.py
@@ -50,6 +50,12 @@
         "the platform is down, so at most once cannot be assured",
     )
     NOT_READY = (3007, 503, Ran.NOT_RUN, "no configuration yet")
+    PROMPT_REFUSED = (
+        3008,
+        503,
+        Ran.NOT_RUN,
+        "a part of the prompt crashes targets",
+    )
 
     TARGET_FAILED = (4001, 502, Ran.RAN, "the target ran it and failed")
     OUTCOME_UNKNOWN = (4002, 504, Ran.UNKNOWN, "no answer from the target")
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -22,6 +22,9 @@
 # Time beyond the deadline for the response to arrive, as the target itself
 # ends overdue requests at the deadline that it received.
 RESPONSE_GRACE_S = 0.15
+# A target that crashes on a request does so as it begins the answer, and may
+# have sent the first event by then.
+WRITING_AFTER_S = 0.25
 
 # Hop-by-hop headers, the caller's API key, and headers that the entry sets
 # itself or that callers must not set.
@@ -73,9 +76,17 @@
         Cause of the outcome, for logs and error texts.
     failed_body
         Body of a response that reports the target's own failure.
+    cut_off
+        Whether the target ended the connection before the response did.
+    withdrawn
+        Whether this entry ended the connection.
+    writing
+        Whether the target went on with the answer after it began it.
     on_leaving
         Called with the attempt if the response says that the target is
         leaving, before anything is relayed.
+    on_writing
+        Called with the attempt when ``writing`` becomes true.
     """
 
     def __init__(
@@ -95,7 +106,12 @@
         self.outcome: _call.Outcome | None = None
         self.reason = ""
         self.failed_body = b""
+        self.cut_off = False
+        self.withdrawn = False
+        self.writing = False
+        self.first_event_at: float | None = None
         self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
+        self.on_writing: Callable[[Attempt], None] = lambda attempt: None
         self.started_at = time.monotonic()
 
     def begin(self, response_timeout_s: float) -> None:
@@ -119,7 +135,7 @@
                 )
             )
         except _target_connection.BrokenResponseError as error:
-            self._finish(_call.Outcome.BROKEN, str(error))
+            self.mark_broken(error)
             return
         self._record_load()
         self._record_retry_after()
@@ -134,7 +150,7 @@
                 self.call.remaining_s + RESPONSE_GRACE_S
             )
         except _target_connection.BrokenResponseError as error:
-            self._finish(_call.Outcome.BROKEN, str(error))
+            self.mark_broken(error)
             return None
 
     def response_headers(self) -> list[tuple[bytes, bytes]]:
@@ -168,9 +184,30 @@
             and self.connection.status == http.HTTPStatus.MISDIRECTED_REQUEST
         )
 
-    def mark_broken(self, reason: str) -> None:
+    def record_event(self) -> None:
+        """Record that an event of a stream has arrived."""
+        now = time.monotonic()
+        if self.first_event_at is None:
+            self.first_event_at = now
+        elif not self.writing and (
+            now - self.first_event_at >= WRITING_AFTER_S
+        ):
+            self.writing = True
+            self.on_writing(self)
+
+    def withdraw(self) -> None:
+        """End the connection, so that the target drops the request."""
+        self.withdrawn = True
+        self.connection.shut_down()
+
+    def mark_broken(
+        self, error: _target_connection.BrokenResponseError
+    ) -> None:
         """End the attempt without a complete response."""
-        self._finish(_call.Outcome.BROKEN, reason)
+        self.cut_off = not isinstance(
+            error, _target_connection.SilentTargetError
+        )
+        self._finish(_call.Outcome.BROKEN, str(error))
 
     def mark_failed(self, body: bytes) -> None:
         """End the attempt with the target's own failure."""
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -25,6 +25,8 @@
         Time that the caller had waited before this request, in seconds.
     model
         Requested model; empty for services without models.
+    prompt_parts
+        Parts of the prompt that other requests may share.
     tried
         Targets that were attempted, in order.
     last_event_id
@@ -53,6 +55,7 @@
     objective_at: float
     waited_s: float = 0.0
     model: str
+    prompt_parts: frozenset[ids.PromptPart] = frozenset()
     last_event_id: str
     tried: list[ids.TargetId] = []
     sent_at: float | None = None
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -8,6 +8,7 @@
 from zinniadyke.gateway import _caller_wait
 from zinniadyke.gateway import _request
 from zinniadyke import ids
+from zinniadyke import platform
 from zinniadyke.platform import headers
 
 MS_PER_S = 1000.0
@@ -66,6 +67,10 @@
         objective_at=request.arrived_at - waited_s + route.objective_s,
         waited_s=waited_s,
         model=request.header(headers.MODEL),
+        prompt_parts=platform.shared_prompt_parts(
+            request.header(headers.PREFIX_HASH),
+            request.header(headers.MODEL),
+        ),
         last_event_id=request.header(headers.LAST_EVENT_ID),
     )
 
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -18,6 +18,7 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _prompt_guard
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -60,12 +61,14 @@
         zone_penalty,
         regions: Mapping[str, str],
         bounds: settings.BoundsSection,
+        prompt_guard: _prompt_guard.PromptGuard,
     ) -> None:
         """Admit waiting requests whenever the directory changes."""
         self.bounds = bounds
         self.view = view
         self.target_table = target_table
         self.zone_penalty = zone_penalty
+        self.prompt_guard = prompt_guard
         self.regions = regions
         self.entry_count = MIN_ENTRIES
         self.entries_counted_at = float("-inf")
@@ -88,6 +91,7 @@
         RequestError
             The final result; nothing was sent to the caller.
         """
+        self.prompt_guard.check(call)
         admission = self._admission(call.service)
         self._budget(call.service).deposit()
         relay = _response_relay.ResponseRelay(call=call, caller=caller)
@@ -99,6 +103,7 @@
                     state = admission.acquire(call)
                 else:
                     state = admission.acquire_for_retry(call)
+                self._check_prompt(call, admission, state)
             except errors.RequestError:
                 if attempt is None:
                     raise
@@ -110,11 +115,13 @@
                 state, call.model
             )
             attempt.on_leaving = self._record_leaving
+            self.prompt_guard.begin(attempt)
             try:
                 relay.run(attempt, start_deadline - uptime.now_s())
             finally:
                 attempt.close()
                 admission.release(state)
+                self.prompt_guard.end(attempt)
             if attempt is first and call.first_part_at is not None:
                 admission.record_first_event_time(
                     call.first_part_at - call.sent_at
@@ -132,6 +139,19 @@
                 relay.give_up(attempt)
                 return
 
+    def _check_prompt(
+        self,
+        call: _call.Call,
+        admission: _admission.Admission,
+        state: _target_state.TargetState,
+    ) -> None:
+        """Give a target's slot back if the prompt is refused by now."""
+        try:
+            self.prompt_guard.check(call)
+        except errors.RequestError:
+            admission.release(state)
+            raise
+
     def _new_attempt(
         self,
         relay: _response_relay.ResponseRelay,
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -18,11 +18,13 @@
 from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _placement
+from zinniadyke.gateway import _prompt_guard
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _target_table
 from zinniadyke import listening
 from zinniadyke import platform
 from zinniadyke.platform import headers
+from zinniadyke import reports
 from zinniadyke import settings
 from zinniadyke import telemetry
 
@@ -90,12 +92,19 @@
                 regions=regions,
             ),
         )
+        self.prompt_guard = _prompt_guard.PromptGuard(
+            name=loaded.host.name,
+            region=loaded.host.region,
+            regions=regions,
+            target_table=self.target_table,
+        )
         self.forwarder = _forward.Forwarder(
             view=self.view,
             target_table=self.target_table,
             zone_penalty=_placement.zone_penalties(loaded.host.zone, regions),
             regions=regions,
             bounds=loaded.bounds,
+            prompt_guard=self.prompt_guard,
         )
         self.load_listener = _load_listener.LoadListener(
             name=loaded.host.name,
@@ -106,6 +115,11 @@
             target_table=self.target_table,
             on_report=self.forwarder.admit_waiting,
         )
+        self.prompt_guard.send = self.load_listener.send
+        self.load_listener.handlers = {
+            reports.CrashReport: self.prompt_guard.handle_crash,
+            reports.PromptNews: self.prompt_guard.handle_news,
+        }
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.callers: set[_caller_connection.CallerConnection] = set()
         self.stopping_since: float | None = None
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -40,6 +40,9 @@
         of them at once.
     last_desired_weights
         Desired weights when ``named`` was last signalled.
+    handlers
+        Handlers of other messages, by type; called with the message and the
+        host that sent it.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         self.sock.bind((ip, port))
         self.named = directory.Signal()
         self.last_desired_weights: dict = {}
+        self.handlers: dict[type, Callable] = {}
         view.on_change.append(self._on_view_change)
 
     def subscribe(self) -> None:
@@ -77,15 +81,22 @@
                 )
             )
             for host_ip in sorted(self.target_table.used_hosts()):
-                try:
-                    self.sock.sendto(message, (host_ip, self.port))
-                except OSError as error:
-                    LOG.debug(
-                        "subscribe failed",
-                        extra={"host": host_ip, "reason": str(error)},
-                    )
+                self._send(message, host_ip)
             self.named.wait(SUBSCRIBE_PERIOD_S)
 
+    def send(self, message: reports.Message, host_ip: str) -> None:
+        """Send a message to the agent on a host."""
+        self._send(reports.encode(message), host_ip)
+
+    def _send(self, data: bytes, host_ip: str) -> None:
+        try:
+            self.sock.sendto(data, (host_ip, self.port))
+        except OSError as error:
+            LOG.debug(
+                "cannot send datagram",
+                extra={"host": host_ip, "reason": str(error)},
+            )
+
     def _on_view_change(self) -> None:
         if self.view.desired_weights != self.last_desired_weights:
             self.last_desired_weights = dict(self.view.desired_weights)
@@ -103,10 +114,11 @@
                 )
                 eventlet.sleep(RECEIVE_RETRY_S)
                 continue
-            if not isinstance(report, reports.LoadReport):
-                continue
             try:
-                self._apply_report(report)
+                if isinstance(report, reports.LoadReport):
+                    self._apply_report(report)
+                elif type(report) in self.handlers:
+                    self.handlers[type(report)](report, host_ip)
             except Exception:
                 # One report must not end the reading of all others.
                 LOG.exception("load report failed", extra={"host": host_ip})
--- /dev/null
+++ b/zinniadyke/gateway/_prompt_guard.py
@@ -0,0 +1,218 @@
+"""Refuses prompts that crash targets, and learns them with other entries."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+import time
+
+import eventlet
+
+from zinniadyke import errors
+from zinniadyke.gateway import _attempt
+from zinniadyke.gateway import _call
+from zinniadyke.gateway import _target_table
+from zinniadyke import ids
+from zinniadyke import rendezvous
+from zinniadyke import reports
+from zinniadyke import requests
+from zinniadyke import telemetry
+
+LOG = logging.getLogger(__name__)
+
+# Attempts that one crash cuts off end within a few milliseconds.
+GATHER_S = 0.01
+# Parts of each kind in one datagram.
+MAX_PARTS = 12
+# Agents in each region that pass on what this entry learned.
+RELAYS_PER_REGION = 2
+# What was learned is sent this often, as datagrams may be lost.
+NEWS_COPIES = 2
+COPY_INTERVAL_S = 0.1
+MS_PER_S = 1000.0
+
+
+class PromptGuard:
+    """Keeps prompt parts that crash targets away from them.
+
+    Parameters
+    ----------
+    region
+        Region of this entry.
+    regions
+        Region of each availability zone.
+
+    Attributes
+    ----------
+    send
+        Sends a message to the agent on a host.
+    running
+        Attempts that have not ended.
+    interrupted
+        Requests that targets cut off before they began to answer, by the
+        target's address and start.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        region: str,
+        regions: dict[str, str],
+        target_table: _target_table.TargetTable,
+    ) -> None:
+        """Start without crashes."""
+        self.name = name
+        self.region = region
+        self.regions = regions
+        self.target_table = target_table
+        self.ledger = requests.CrashLedger()
+        self.ledger.on_refused = self._on_refused
+        self.ledger.on_cleared = self._on_cleared
+        self.send: Callable[[reports.Message, str], None] = (
+            lambda message, host_ip: None
+        )
+        self.running: set[_attempt.Attempt] = set()
+        self.interrupted: dict[tuple[str, int], reports.PartsByRequest] = {}
+        self.refused_news: set[ids.PromptPart] = set()
+        self.cleared_news: set[ids.PromptPart] = set()
+
+    def check(self, call: _call.Call) -> None:
+        """Raise an error for a prompt that crashes targets.
+
+        Raises
+        ------
+        RequestError
+            A part of the prompt is refused.
+        """
+        seconds = self.ledger.refused_for_s(call.prompt_parts)
+        if seconds > 0:
+            raise errors.RequestError(
+                code=errors.ResultCode.PROMPT_REFUSED, retry_after_s=seconds
+            )
+
+    def refuses(self, call: _call.Call) -> bool:
+        """Whether a part of a call's prompt is refused."""
+        return self.ledger.refused_for_s(call.prompt_parts) > 0
+
+    def begin(self, attempt: _attempt.Attempt) -> None:
+        """Follow an attempt from its start on."""
+        attempt.on_writing = self._record_writing
+        self.running.add(attempt)
+
+    def end(self, attempt: _attempt.Attempt) -> None:
+        """Learn from the end of an attempt."""
+        self.running.discard(attempt)
+        call = attempt.call
+        if attempt.outcome is _call.Outcome.ANSWERED:
+            self._record_writing(attempt)
+        elif attempt.cut_off and not attempt.writing and not attempt.withdrawn:
+            target = attempt.state.target
+            if not self.interrupted:
+                eventlet.spawn_after(GATHER_S, self._report_interrupted)
+            self.interrupted.setdefault((target.address, target.born_ms), {})[
+                call.id
+            ] = sorted(call.prompt_parts)
+
+    def handle_crash(self, report: reports.CrashReport, host_ip: str) -> None:
+        """Record a crash that an agent reports.
+
+        One that this region's agents saw is passed on to other regions.
+        """
+        self.ledger.record_crash(
+            report.crash,
+            time.monotonic() - report.age_ms / MS_PER_S,
+            {
+                ids.RequestId(request): frozenset(
+                    ids.PromptPart(part) for part in parts
+                )
+                for request, parts in report.requests.items()
+            },
+        )
+        if host_ip == report.address.rpartition(":")[0]:
+            for region, hosts in self._relays().items():
+                if region != self.region:
+                    for relay in hosts:
+                        self.send(report, relay)
+
+    def handle_news(self, news: reports.PromptNews, host_ip: str) -> None:
+        """Apply what another entry learned."""
+        for part in news.cleared:
+            self.ledger.clear(ids.PromptPart(part), announce=False)
+        for part, for_ms in news.refused.items():
+            self.ledger.refuse(ids.PromptPart(part), for_ms / MS_PER_S)
+        self._withdraw(ids.PromptPart(part) for part in news.refused)
+
+    def _record_writing(self, attempt: _attempt.Attempt) -> None:
+        self.ledger.record_served(attempt.call.prompt_parts)
+
+    def _report_interrupted(self) -> None:
+        interrupted, self.interrupted = self.interrupted, {}
+        for (address, born_ms), parts_by_request in interrupted.items():
+            for group in reports.split_requests(parts_by_request):
+                self.send(
+                    reports.Interruption(
+                        address=address, born_ms=born_ms, requests=group
+                    ),
+                    address.rpartition(":")[0],
+                )
+
+    def _on_refused(self, part: ids.PromptPart) -> None:
+        telemetry.count(telemetry.Metric.PROMPT_PARTS_REFUSED)
+        self._withdraw([part])
+        self._announce(self.refused_news, part)
+
+    def _on_cleared(self, part: ids.PromptPart) -> None:
+        self._announce(self.cleared_news, part)
+
+    def _announce(
+        self, news: set[ids.PromptPart], part: ids.PromptPart
+    ) -> None:
+        if not (self.refused_news or self.cleared_news):
+            eventlet.spawn_after(GATHER_S, self._send_news)
+        news.add(part)
+
+    def _send_news(self) -> None:
+        refused, self.refused_news = self.refused_news, set()
+        cleared, self.cleared_news = self.cleared_news, set()
+        for copy in range(NEWS_COPIES):
+            if copy:
+                eventlet.sleep(COPY_INTERVAL_S)
+            left_s = self.ledger.refused_parts()
+            still_refused = sorted(refused & left_s.keys())
+            # A part that was refused meanwhile is not cleared.
+            still_cleared = sorted(cleared - left_s.keys())
+            for first in range(
+                0, max(len(still_refused), len(still_cleared)), MAX_PARTS
+            ):
+                news = reports.PromptNews(
+                    refused={
+                        part: int(left_s[part] * MS_PER_S)
+                        for part in still_refused[first : first + MAX_PARTS]
+                    },
+                    cleared=still_cleared[first : first + MAX_PARTS],
+                )
+                for hosts in self._relays().values():
+                    for host_ip in hosts:
+                        self.send(news, host_ip)
+
+    def _relays(self) -> dict[str, list[str]]:
+        """Return the agents of each region that pass on messages."""
+        hosts: dict[str, set[str]] = {}
+        used = self.target_table.used_hosts()
+        for state in self.target_table.states.values():
+            if state.target.host_ip in used:
+                region = self.regions.get(state.target.zone, "")
+                hosts.setdefault(region, set()).add(state.target.host_ip)
+        return {
+            region: sorted(
+                found, key=lambda h: rendezvous.weight(self.name, h)
+            )[:RELAYS_PER_REGION]
+            for region, found in hosts.items()
+        }
+
+    def _withdraw(self, parts: Iterable[ids.PromptPart]) -> None:
+        """End the attempts that wait at targets with a refused part."""
+        refused = set(parts)
+        for attempt in list(self.running):
+            if refused & attempt.call.prompt_parts and not attempt.writing:
+                attempt.withdraw()
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -178,17 +178,24 @@
                     break
                 events = self._new_events(splitter.feed(part))
                 if events:
+                    attempt.record_event()
                     self._relay_part(attempt, b"".join(events))
                     waiting_since = time.monotonic()
                     timeout_s = self._event_timeout_s()
         except _events.EventTooLargeError:
-            attempt.mark_broken("event over the limit")
+            attempt.mark_broken(
+                _target_connection.BrokenResponseError("event over the limit")
+            )
             return
         except _target_connection.BrokenResponseError as error:
-            attempt.mark_broken(str(error))
+            attempt.mark_broken(error)
             return
         if splitter.remainder:
-            attempt.mark_broken("the stream ended within an event")
+            attempt.mark_broken(
+                _target_connection.BrokenResponseError(
+                    "the stream ended within an event"
+                )
+            )
             return
         if not self.streaming:
             self._relay_part(attempt, b"")
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -223,6 +223,15 @@
         BUFFERED_BYTES.give_back(self.buffered_bytes)
         self.buffered_bytes = 0
 
+    def shut_down(self) -> None:
+        """End the connection while another task reads from it."""
+        if self.sock is None:
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            LOG.debug("shutdown failed", extra={"reason": str(error)})
+
     def _check_buffered(self) -> None:
         """Account for the body held here; break off one without end."""
         if self.body_bytes > MAX_BODY_BYTES:
--- a/zinniadyke/ids.py
+++ b/zinniadyke/ids.py
@@ -18,6 +18,8 @@
 TargetId = NewType("TargetId", str)
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 WeightsVersion = NewType("WeightsVersion", int)
+# A model and the hash of one part of its prompts.
+PromptPart = NewType("PromptPart", str)
 
 ID_BYTES = 9
 
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -5,6 +5,7 @@
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_targets
 from zinniadyke.platform._follow import follow_versions
+from zinniadyke.platform._prompt_parts import shared_prompt_parts
 from zinniadyke.platform._purpose import Purpose
 from zinniadyke.platform._records import Host
 from zinniadyke.platform._records import HostRole
@@ -43,5 +44,6 @@
     "follow_versions",
     "parse_retry_after",
     "render_template",
+    "shared_prompt_parts",
     "update",
 ]
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -3,23 +3,33 @@
 from zinniadyke.reports._desired_weights import learn_desired_weights
 from zinniadyke.reports._indexes import decode_indexes
 from zinniadyke.reports._indexes import encode_indexes
+from zinniadyke.reports._messages import CrashReport
 from zinniadyke.reports._messages import decode
 from zinniadyke.reports._messages import encode
+from zinniadyke.reports._messages import Interruption
 from zinniadyke.reports._messages import LoadReport
 from zinniadyke.reports._messages import Message
+from zinniadyke.reports._messages import PartsByRequest
 from zinniadyke.reports._messages import PieceQuery
 from zinniadyke.reports._messages import PieceReport
+from zinniadyke.reports._messages import PromptNews
 from zinniadyke.reports._messages import Subscribe
+from zinniadyke.reports._split import split_requests
 
 __all__ = [
+    "CrashReport",
+    "Interruption",
     "LoadReport",
     "Message",
+    "PartsByRequest",
     "PieceQuery",
     "PieceReport",
+    "PromptNews",
     "Subscribe",
     "decode",
     "decode_indexes",
     "encode",
     "encode_indexes",
     "learn_desired_weights",
+    "split_requests",
 ]
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -97,7 +97,71 @@
     have: bytes
 
 
-Message = Subscribe | LoadReport | PieceQuery | PieceReport
+# Prompt parts of requests, by request id.
+PartsByRequest = dict[str, list[str]]
+
+
+class Interruption(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=5
+):
+    """An entry's requests that a target cut off before it began to answer.
+
+    Attributes
+    ----------
+    born_ms
+        Unix time in ms of the target's start, as registered; 0 if unknown.
+    """
+
+    address: str
+    born_ms: int
+    requests: PartsByRequest
+
+
+class CrashReport(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=6
+):
+    """A crash of a target and what all entries reported of it.
+
+    Attributes
+    ----------
+    crash
+        Identifies the crash.
+    age_ms
+        Time since the crash, in ms.
+    """
+
+    address: str
+    crash: str
+    age_ms: int
+    requests: PartsByRequest
+
+
+class PromptNews(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=7
+):
+    """What an entry has learned about prompt parts that crash targets.
+
+    Attributes
+    ----------
+    refused
+        Time for which each part is refused, in ms.
+    cleared
+        Parts that were suspected, and with which a request was served.
+    """
+
+    refused: dict[str, int]
+    cleared: list[str]
+
+
+Message = (
+    Subscribe
+    | LoadReport
+    | PieceQuery
+    | PieceReport
+    | Interruption
+    | CrashReport
+    | PromptNews
+)
 
 _DECODER = msgspec.msgpack.Decoder(Message)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -4,6 +4,7 @@
 from zinniadyke.requests._claims import claim_key
 from zinniadyke.requests._claims import ClaimState
 from zinniadyke.requests._claims import ClaimStore
+from zinniadyke.requests._crash_ledger import CrashLedger
 from zinniadyke.requests._fair_queue import FairQueue
 from zinniadyke.requests._histograms import Histograms
 from zinniadyke.requests._retry_budget import RetryBudget
@@ -17,6 +18,7 @@
     "Claim",
     "ClaimState",
     "ClaimStore",
+    "CrashLedger",
     "FairQueue",
     "Histograms",
     "RetryBudget",
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -172,7 +172,12 @@
         ):
             return
         self.last_sent, self.last_sent_at = report, now
-        data = reports.encode(report)
+        self.broadcast(report)
+
+    def broadcast(self, message: reports.Message) -> None:
+        """Send a message to all subscribed entries."""
+        now = time.monotonic()
+        data = reports.encode(message)
         for sender, subscribed_at in list(self.subscribers.items()):
             if now > subscribed_at + SUBSCRIPTION_TIMEOUT_S:
                 del self.subscribers[sender]
@@ -181,9 +186,7 @@
             try:
                 self.sock.sendto(data, sender)
             except OSError as error:
-                LOG.debug(
-                    "cannot send load report", extra={"reason": str(error)}
-                )
+                LOG.debug("cannot send datagram", extra={"reason": str(error)})
 
     def _is_unchanged(self, report: reports.LoadReport) -> bool:
         """Whether only times differ from the last report sent."""
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -4,7 +4,9 @@
 
 from zinniadyke import directory
 from zinniadyke import platform
+from zinniadyke import reports
 from zinniadyke import settings
+from zinniadyke.sidecar import _crash_reporter
 from zinniadyke.sidecar import _host_link
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_server
@@ -36,6 +38,18 @@
         self.reporter.on_serving = lambda is_serving: link.set_rates(
             is_serving=is_serving
         )
+        self.crash_reporter = _crash_reporter.CrashReporter(
+            address=loaded.target.address,
+            read_report=lambda: target.report(layer_count=0),
+            broadcast=self.reporter.broadcast,
+        )
+        self.reporter.handlers.update(
+            {
+                reports.Interruption: self.crash_reporter.handle_interruption,
+                reports.CrashReport: self.crash_reporter.handle_news,
+                reports.PromptNews: self.crash_reporter.handle_news,
+            }
+        )
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.weights_updater = _weights_updater.WeightsUpdater(
             loaded=loaded,
@@ -55,6 +69,7 @@
                 self.peer_server.run,
                 self.reporter.receive,
                 self.reporter.run,
+                self.crash_reporter.run,
                 self.weights_updater.fetch,
                 self.weights_updater.switch,
                 self.weights_updater.piece_exchange.announce_pieces,
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -36,6 +36,8 @@
     TARGETS_LEAVING = "targets_leaving"
     # Answers of targets that were broken off, as they exceeded a limit.
     ANSWERS_OVER_LIMIT = "answers_over_limit"
+    # Prompt parts that were found to crash targets.
+    PROMPT_PARTS_REFUSED = "prompt_parts_refused"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
