An unframed stream that ends before its first event is broken off

Callers: a stream with neither a length nor chunks ends with its connection; a target that crashed after the head of such an answer gave the caller an empty stream that looked whole. A stream that ends inside an event was treated as broken before; a test now shows it.

test_unframed_stream_without_an_event_is_not_whole failed before (the answer was passed on as whole, and no other target was asked).

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -213,6 +213,37 @@
         assert body == b"".join(event(n) for n in (1, 2, 3, 4))
 
 
+def unframed_stream(*numbers, then=b""):
+    def script(exchange):
+        exchange.head(Content_Type="text/event-stream")
+        exchange.send(b"".join(event(n) for n in numbers) + then)
+
+    return script
+
+
+def test_unframed_stream_that_ends_with_an_event_is_whole():
+    with deploy.deployment(unframed_stream(1, 2)) as system:
+        status, _, body, complete = system.ask("/stream/x")
+    assert (status, body, complete) == (200, event(1) + event(2), True)
+
+
+def test_unframed_stream_that_ends_inside_an_event_goes_on_elsewhere():
+    broken = unframed_stream(1, then=b"id: 2\nda")
+    with deploy.deployment(broken, broken) as system:
+        status, _, body, complete = system.ask("/stream/x")
+        assert len(system.targets[0].seen) + len(system.targets[1].seen) == 2
+    assert (status, body, complete) == (200, event(1), False)
+
+
+def test_unframed_stream_without_an_event_is_not_whole():
+    """A target that crashes as it begins an answer looks the same."""
+    empty = unframed_stream()
+    with deploy.deployment(empty, empty) as system:
+        status = system.ask("/stream/x")[0]
+        assert len(system.targets[0].seen) + len(system.targets[1].seen) == 2
+    assert status == 502
+
+
 def test_broken_stream_without_resume_looks_incomplete():
     with deploy.deployment(
         stream(1, 2, then=reset), stream(1, 2, then=reset)
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -197,6 +197,17 @@
                 )
             )
             return
+        if (
+            not self.streaming
+            and response.framing is _target_connection.Framing.CLOSE
+        ):
+            # Only the close ends it, as it does when the target crashes.
+            attempt.mark_broken(
+                _target_connection.BrokenResponseError(
+                    "the stream ended before its first event"
+                )
+            )
+            return
         if not self.streaming:
             self._relay_part(attempt, b"")
         self.caller.end_stream()
