Own interface: prompts that crash engines are learnt and refused too

The same cause as on the platform: a request to a model counts as idempotent, so one whose engine crashed was tried on up to eight engines, and each new one with the same message again.

Change: attempts carry digests of the prompt's messages; an agent reports a crash of its engine with the attempts cut off before the first frame, in its status, which entries wait for; entries refuse the guilty message with 3008, stop repeating it, and pass on what they refuse or clear through their agents. The ledger is the gateway's. Agents and entries of earlier builds ignore the new fields.

--- a/tests/entry/test_target_pool.py
+++ b/tests/entry/test_target_pool.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from zinniadyke.entry import _prompt_guard
 from zinniadyke.entry import _target_pool
 from zinniadyke import peers
 
@@ -39,7 +40,9 @@
 
 
 def test_one_free_slot_grants_one_request_in_order():
-    pool = _target_pool.TargetPool(node=None, service="s")
+    pool = _target_pool.TargetPool(
+        node=None, service="s", prompt_guard=_prompt_guard.PromptGuard()
+    )
     link = pool.links["h"] = FakeLink(slots=1)
     served = []
 
--- a/zinniadyke/agent/_admission_gate.py
+++ b/zinniadyke/agent/_admission_gate.py
@@ -1,6 +1,7 @@
 """Admission control of the requests to one engine."""
 
 import collections
+from collections.abc import Callable
 import time
 
 import eventlet
@@ -88,7 +89,11 @@
         changed.send()
 
     def wait_for_change(
-        self, reported_state: peers.GateState, version: str, timeout_s: float
+        self,
+        reported_state: peers.GateState,
+        version: str,
+        timeout_s: float,
+        has_news: Callable[[], bool] = lambda: False,
     ) -> None:
         """Wait until the reported state or the version differs.
 
@@ -98,12 +103,14 @@
             The values that the caller knows.
         timeout_s
             Longest wait, in seconds.
+        has_news
+            Returns whether there is something else that ends the wait.
         """
         with eventlet.Timeout(timeout_s, False):
             while (self.reported_state, self.version) == (
                 reported_state,
                 version,
-            ):
+            ) and not has_news():
                 self.changed.wait()
 
     def set_refusing(
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -7,6 +7,7 @@
 from zinniadyke.agent import _admission_gate
 from zinniadyke.agent import _attempt_runner
 from zinniadyke.agent import _chunk_server
+from zinniadyke.agent import _crash_log
 from zinniadyke.agent import _engine_watch
 from zinniadyke.agent import _fence
 from zinniadyke.agent import _order_executor
@@ -103,6 +104,12 @@
             is_order_running=self.order_executor.lock.locked,
         )
         self.attempt_runner.verify_version = self.engine_watch.verify_version
+        self.crash_log = _crash_log.CrashLog(
+            incarnation=self.node.incarnation,
+            runs_on=self.engine_watch.serves,
+            on_news=self.gate.notify_change,
+        )
+        self.attempt_runner.crash_log = self.crash_log
         self.engine_watch_task: eventlet.greenthread.GreenThread | None = None
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
@@ -162,13 +169,20 @@
             revision=self.node.store.revision,
             progress=self.stager.progress,
             waiting=self.order_executor.waiting or self.stager.waiting,
+            news=self.crash_log.news,
+            crashes=self.crash_log.recent_crashes(),
+            findings=self.crash_log.findings(),
         )
 
     def _answer_status(self, inbound: peers.InboundMessage) -> None:
         request = inbound.message
+        self.crash_log.record_findings(request.findings)
         if request.wait_s > 0:
             self.gate.wait_for_change(
-                request.gate, request.version, request.wait_s
+                request.gate,
+                request.version,
+                request.wait_s,
+                lambda: self.crash_log.news != request.news,
             )
         inbound.reply(self.status())
 
--- a/zinniadyke/agent/_attempt_runner.py
+++ b/zinniadyke/agent/_attempt_runner.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from zinniadyke.agent import _admission_gate
+from zinniadyke.agent import _crash_log
 from zinniadyke import engine
 from zinniadyke import errors
 from zinniadyke import ids
@@ -33,6 +34,7 @@
         self.gate = gate
         self.client = client
         self.incarnation = incarnation
+        self.crash_log: _crash_log.CrashLog | None = None
         self.verifies_after_run = False
         self.verify_version = lambda version: True
 
@@ -58,6 +60,7 @@
             self._relay(inbound, frames_sent)
             inbound.reply(self._end_message(message, frames_sent[0], None))
         except errors.ZinniadykeError as error:
+            self._record_cut_off(message, frames_sent[0], error)
             inbound.reply(self._end_message(message, frames_sent[0], error))
         except eventlet.greenlet.GreenletExit:
             error = errors.RequestError(code=errors.ResultCode.CANCELLED)
@@ -65,6 +68,25 @@
         finally:
             self.gate.finish(key)
 
+    def _record_cut_off(
+        self,
+        message: peers.Run,
+        frames_sent: int,
+        error: errors.ZinniadykeError,
+    ) -> None:
+        """Record an answer that the engine broke off before it began."""
+        if (
+            self.crash_log is not None
+            and message.prompt_parts
+            and not frames_sent
+            and error.code
+            in (
+                errors.ResultCode.OUTCOME_UNKNOWN,
+                errors.ResultCode.STREAM_BROKEN,
+            )
+        ):
+            self.crash_log.record_cut_off(message)
+
     def close(self, inbound: peers.InboundMessage) -> None:
         """Cancel an attempt if it is running, else prevent its start."""
         message = inbound.message
--- a/zinniadyke/agent/_engine_watch.py
+++ b/zinniadyke/agent/_engine_watch.py
@@ -85,6 +85,13 @@
             return False
         return (state.loaded, state.digest) == (version, manifest.content)
 
+    def serves(self, version: str) -> bool:
+        """Return whether the engine answers and holds a version."""
+        try:
+            return self.client.state().loaded == version
+        except errors.EngineError:
+            return False
+
     def verify_version(self, version: str) -> bool:
         """Return whether the engine's current state matches ``version``.
 
--- a/zinniadyke/entry/_caller_request.py
+++ b/zinniadyke/entry/_caller_request.py
@@ -27,6 +27,8 @@
         Monotonic time by which the request must end, in seconds.
     max_queued
         Largest number of queued requests of the workspace and priority.
+    prompt_parts
+        Parts of the prompt that other requests may share.
     """
 
     request_id: ids.RequestId
@@ -47,6 +49,7 @@
     key: str
     deadline_s: float
     max_queued: int
+    prompt_parts: frozenset[ids.PromptPart] = frozenset()
 
     def time_left_s(self) -> float:
         """Return the time left until the deadline, in seconds."""
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -75,6 +75,7 @@
             yield from self.first_parts
             yield from self.rest
             self.attempt.record_result(False)
+            self.pool.prompt_guard.record_served(self.attempt.call)
         except errors.RequestError:
             self.attempt.record_result(True)
             raise
@@ -105,10 +106,14 @@
     RequestError
         The final result, as soon as it is known.
     """
+    pool.prompt_guard.check(call)
     pool.retry_budget.deposit()
     excluded: set[ids.HostName] = set()
     for number in range(1, MAX_ATTEMPTS + 1):
         link, version = pool.acquire(call, excluded)
+        if pool.prompt_guard.refuses(call):
+            pool.release(link)
+            pool.prompt_guard.check(call)
         attempt = _attempt.Attempt(
             call=call, number=number, link=link, version=version
         )
@@ -193,6 +198,8 @@
 ) -> None:
     if number >= MAX_ATTEMPTS or call.time_left_s() <= 0:
         raise error
+    if pool.prompt_guard.refuses(call):
+        raise error
     if error.code.ran is errors.Ran.NOT_RUN:
         return
     if not call.idempotent or not pool.retry_budget.withdraw():
--- a/zinniadyke/entry/_read_request.py
+++ b/zinniadyke/entry/_read_request.py
@@ -11,6 +11,7 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import objects
+from zinniadyke import rendezvous
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICE_PREFIX = "/services/"
@@ -20,6 +21,8 @@
 DEFAULT_CLASS = "default"
 MAX_KEY_CHARS = 200
 MAX_CLASS_CHARS = 64
+# Latest messages of a prompt that are told apart.
+MAX_PROMPT_PARTS = 24
 FORWARDED_METHODS = (
     "GET",
     "HEAD",
@@ -63,11 +66,13 @@
     body = read_body(environ, max_body_bytes)
     model = service = ""
     stream = False
+    prompt_parts: frozenset[ids.PromptPart] = frozenset()
     if path in MODEL_PATHS:
         if method != "POST":
             raise _bad_request("completions require method POST")
         parsed = _model_body(body, path)
         model, stream, target_path = parsed.model, parsed.stream, path
+        prompt_parts = _prompt_parts(parsed)
     elif path.startswith(SERVICE_PREFIX):
         service, target_path = _service_path(environ, path, method)
     else:
@@ -104,6 +109,28 @@
         key=_idempotency_key(environ),
         deadline_s=time.monotonic() + _timeout_s(environ, matched.declared),
         max_queued=limit.queue,
+        prompt_parts=prompt_parts,
+    )
+
+
+def _prompt_parts(body: ModelBody) -> frozenset[ids.PromptPart]:
+    """Return the messages or prompts of a request, as digests.
+
+    Unlike a platform's list of parts, the last message counts too, as callers
+    ask the same again.
+    """
+    parts = body.messages or []
+    if isinstance(body.prompt, list):
+        parts = [*parts, *body.prompt]
+    elif body.prompt is not None:
+        parts = [*parts, body.prompt]
+    return frozenset(
+        ids.PromptPart(
+            rendezvous.weight(
+                body.model, msgspec.json.encode(part).decode()
+            ).hex()
+        )
+        for part in parts[-MAX_PROMPT_PARTS:]
     )
 
 
--- a/zinniadyke/entry/_request_server.py
+++ b/zinniadyke/entry/_request_server.py
@@ -5,10 +5,12 @@
 from zinniadyke import control
 from zinniadyke.entry import _caller_request
 from zinniadyke.entry import _dispatch
+from zinniadyke.entry import _prompt_guard
 from zinniadyke.entry import _read_request
 from zinniadyke.entry import _target_pool
 from zinniadyke import errors
 from zinniadyke import objects
+from zinniadyke import peers
 from zinniadyke import requests
 
 CLAIM_SLACK_S = 10.0
@@ -50,6 +52,8 @@
         """Start without pools; ``refresh`` creates them."""
         self.node = node
         self.pools: dict[str, _target_pool.TargetPool] = {}
+        self.prompt_guard = _prompt_guard.PromptGuard()
+        self.prompt_guard.tell = self._tell_agents
         self.limiters: dict[str, requests.WorkspaceLimiter] = {}
         self.claims = requests.ClaimStore(client=node.client)
 
@@ -63,10 +67,16 @@
         for name in declared:
             if name not in self.pools:
                 self.pools[name] = _target_pool.TargetPool(
-                    node=self.node, service=name
+                    node=self.node,
+                    service=name,
+                    prompt_guard=self.prompt_guard,
                 )
             self.pools[name].refresh()
 
+    def _tell_agents(self, findings: peers.PromptFindings) -> None:
+        for pool in self.pools.values():
+            pool.tell(findings)
+
     def serve(self, call: _caller_request.CallerRequest) -> ServedResponse:
         """Return the response to a request.
 
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -1,5 +1,6 @@
 """An entry's link to one agent: connection, heartbeats and load."""
 
+from collections.abc import Callable
 import logging
 import random
 
@@ -32,6 +33,8 @@
         Connection to the agent on the host.
     on_change
         Called after each status, as the target may accept work again.
+    on_status
+        Called with each status.
     """
 
     def __init__(
@@ -40,11 +43,13 @@
         host: platform.Host,
         connection: peers.PeerConnection,
         on_change,
+        on_status: Callable[[peers.Status], None] = lambda status: None,
     ) -> None:
         """Start the heartbeat task."""
         self.host = host
         self.connection = connection
         self.on_change = on_change
+        self.on_status = on_status
         self.status: peers.Status | None = None
         self.missed_heartbeats = 0
         self.in_flight = 0
@@ -178,8 +183,20 @@
                 extra={"target": self.host.name},
             )
             self.connection.fail_calls()
+        self.on_status(status)
         self.on_change()
 
+    def tell(self, findings: peers.PromptFindings) -> None:
+        """Tell the agent what this entry has found out about prompts."""
+        try:
+            self.connection.send_and_receive(
+                peers.GetStatus(findings=findings), HEARTBEAT_TIMEOUT_S
+            )
+        except errors.PeerTimeoutError:
+            LOG.info(
+                "findings not delivered", extra={"target": self.host.name}
+            )
+
     def _heartbeat_message(self) -> peers.GetStatus:
         """Return the next heartbeat.
 
@@ -192,6 +209,7 @@
             wait_s=HEARTBEAT_HOLD_S * random.uniform(0.8, 1.0),
             gate=self.status.gate,
             version=self.status.version,
+            news=self.status.news,
         )
 
     def update_running(self, running: int) -> None:
--- a/zinniadyke/entry/_target_pool.py
+++ b/zinniadyke/entry/_target_pool.py
@@ -3,8 +3,11 @@
 import random
 import time
 
+import eventlet
+
 from zinniadyke import control
 from zinniadyke.entry import _caller_request
+from zinniadyke.entry import _prompt_guard
 from zinniadyke.entry import _target_link
 from zinniadyke import errors
 from zinniadyke import ids
@@ -23,12 +26,19 @@
     ----------
     service
         The service that the targets belong to.
+    prompt_guard
+        Keeps prompts that crash engines away from all targets.
     """
 
     def __init__(
-        self, *, node: control.Node, service: ids.ServiceName
+        self,
+        *,
+        node: control.Node,
+        service: ids.ServiceName,
+        prompt_guard: _prompt_guard.PromptGuard,
     ) -> None:
         """Start without targets; ``refresh`` adds them."""
+        self.prompt_guard = prompt_guard
         self.node = node
         self.service = service
         self.links: dict[ids.HostName, _target_link.TargetLink] = {}
@@ -136,8 +146,14 @@
             host=host,
             connection=self.node.connect(host),
             on_change=self.grant_free_slots,
+            on_status=self.prompt_guard.learn,
         )
 
+    def tell(self, findings: peers.PromptFindings) -> None:
+        """Tell all agents what this entry has found out about prompts."""
+        for link in self.links.values():
+            eventlet.spawn_n(link.tell, findings)
+
     def _reserve_slot(
         self, link: _target_link.TargetLink, version: str
     ) -> tuple[_target_link.TargetLink, str]:
--- a/zinniadyke/fakes/_engine.py
+++ b/zinniadyke/fakes/_engine.py
@@ -49,6 +49,8 @@
         Number of runs by request id.
     interrupted_by_load
         Number of requests that were running when a load started.
+    crashes
+        Number of crashes.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.running = 0
         self.runs: collections.Counter = collections.Counter()
         self.interrupted_by_load = 0
+        self.crashes = 0
         self.server = _http.HttpServer(application=self, address=address)
         self.url = self.server.url
 
@@ -160,9 +163,11 @@
 
     def _send_completion(self, words, body, request_id, start_response):
         loaded = self.loaded
+        crashes = self.crashes
         self.running += 1
         try:
             eventlet.sleep(self._word_time_s() * len(words))
+            self._apply_crash(body, crashes)
         finally:
             self.running -= 1
         message = {"role": "assistant", "content": " ".join(words)}
@@ -174,11 +179,13 @@
     def _stream_completion(self, words, body, request_id):
         loaded = self.loaded
         pause_s = self._word_time_s()
+        crashes = self.crashes
         self.running += 1
         try:
             for number, word in enumerate(words):
                 self._apply_stream_fault(number)
                 eventlet.sleep(pause_s)
+                self._apply_crash(body, crashes)
                 choice = {"index": 0, "delta": {"content": word + " "}}
                 yield _event(
                     _completion_body(request_id, body, loaded, choice)
@@ -193,6 +200,19 @@
         )
         return self.seconds_per_word * (1 + spread)
 
+    def _apply_crash(self, body: dict, crashes: int) -> None:
+        """Crash on a deadly prompt, or end with the engine that crashed."""
+        deadly = self.faults.crash_on
+        if deadly and deadly in str(body) and not self.faults.down:
+            self.crashes += 1
+            self.faults.down = True
+            eventlet.spawn_after(self.faults.crash_s, self._restart)
+        if self.crashes != crashes:
+            _http.abort_connection()
+
+    def _restart(self) -> None:
+        self.faults.down = False
+
     def _apply_stream_fault(self, number: int) -> None:
         if number == self.faults.die_after_frames:
             _http.abort_connection()
--- a/zinniadyke/fakes/_faults.py
+++ b/zinniadyke/fakes/_faults.py
@@ -62,12 +62,18 @@
         Number of running requests to report; -1 reports the actual number.
     stall_s
         Length of the pause in a stream, in seconds.
+    crash_on
+        Text in a prompt on whose answer the engine crashes as it begins it;
+        empty for none. It cuts off all requests and is back after
+        ``crash_s`` seconds.
     """
 
     down: bool = False
     latency_s: float = 0.0
     load_s: float = 0.0
     truncate_loads: int = 0
+    crash_on: str = ""
+    crash_s: float = 0.5
     fail_loads: int = 0
     die_after_frames: int = -1
     stall_after_frames: int = -1
--- a/zinniadyke/peers/__init__.py
+++ b/zinniadyke/peers/__init__.py
@@ -6,6 +6,8 @@
 from zinniadyke.peers._chunk_messages import GetChunk
 from zinniadyke.peers._connection import Call
 from zinniadyke.peers._connection import PeerConnection
+from zinniadyke.peers._crash_messages import EngineCrash
+from zinniadyke.peers._crash_messages import PromptFindings
 from zinniadyke.peers._message import Message
 from zinniadyke.peers._request_messages import AttemptClosed
 from zinniadyke.peers._request_messages import Begin
@@ -35,6 +37,7 @@
     "CloseAttempt",
     "Delta",
     "End",
+    "EngineCrash",
     "Frames",
     "GateState",
     "GetChunk",
@@ -44,6 +47,7 @@
     "OrderResult",
     "PeerConnection",
     "PeerServer",
+    "PromptFindings",
     "Run",
     "Status",
     "Sync",
--- a/zinniadyke/peers/_request_messages.py
+++ b/zinniadyke/peers/_request_messages.py
@@ -16,6 +16,8 @@
         service.
     timeout_s
         Time left for the answer, in seconds.
+    prompt_parts
+        Parts of the prompt that other requests may share.
     """
 
     request_id: ids.RequestId
@@ -28,6 +30,7 @@
     headers: dict[str, str]
     stream: bool
     timeout_s: float
+    prompt_parts: list[ids.PromptPart] = []
 
 
 class Begin(_message.Message):
--- a/zinniadyke/peers/_status_messages.py
+++ b/zinniadyke/peers/_status_messages.py
@@ -3,6 +3,7 @@
 import enum
 
 from zinniadyke import ids
+from zinniadyke.peers import _crash_messages
 from zinniadyke.peers import _message
 
 
@@ -22,13 +23,17 @@
     wait_s
         Long-poll limit, in seconds. The agent answers earlier once its gate
         or version differs from ``gate`` or ``version``.
-    gate, version
+    gate, version, news
         Last state that the sender knows.
+    findings
+        What the sender has found out about prompts that crash engines.
     """
 
     wait_s: float = 0.0
     gate: GateState = GateState.CLOSED
     version: str = ""
+    news: int = 0
+    findings: _crash_messages.PromptFindings = _crash_messages.PromptFindings()
 
 
 class Status(_message.Message):
@@ -42,6 +47,10 @@
         ``model/version`` names whose chunks are all verified.
     waiting
         Numeric result code of what keeps the agent waiting; 0 for none.
+    news
+        Number that changes with each new crash or finding.
+    crashes, findings
+        Recent crashes of the engine, and what entries have found out.
     """
 
     host: ids.HostName
@@ -56,6 +65,9 @@
     revision: int
     progress: float = 0.0
     waiting: int = 0
+    news: int = 0
+    crashes: list[_crash_messages.EngineCrash] = []
+    findings: _crash_messages.PromptFindings = _crash_messages.PromptFindings()
 
 
 class Activate(_message.Message):
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -102,16 +102,27 @@
         if any(cleared) or self._served_since_first_crash() == MIN_SERVED:
             self._convict()
 
-    def clear(self, part: ids.PromptPart, *, announce: bool = True) -> bool:
+    def clear(
+        self,
+        part: ids.PromptPart,
+        *,
+        at: float | None = None,
+        announce: bool = True,
+    ) -> bool:
         """Record that a request with a part was served, here or elsewhere.
 
         Returns whether this clears the part of a suspicion or a refusal.
 
         Parameters
         ----------
+        at
+            Monotonic time at which it was served; now if None.
         announce
             Whether to call ``on_cleared`` then.
         """
+        at = self.clock() if at is None else at
+        if at <= self.last_served_at.get(part, float("-inf")):
+            return False
         was_refused = self.refusals.pop(part, 0) > 0
         if self.refused_until.pop(part, None) is not None:
             LOG.warning("prompt part cleared", extra={"part": part})
@@ -120,7 +131,7 @@
             part, never
         ) > self.last_served_at.get(part, never)
         if was_suspected:
-            self.last_served_at[part] = self.clock()
+            self.last_served_at[part] = at
         cleared = was_suspected or was_refused
         if cleared and announce:
             self.on_cleared(part)
