A refusal of a prompt part is not renewed by crashes before it

Found in review: crashes are kept longer than a first refusal lasts, so when it ended the next crash of any kind brought it back although no target had crashed on the part since. test_refusal_that_has_ended_is_not_renewed_by_crashes_before_it failed before.

--- a/tests/requests/test_crash_ledger.py
+++ b/tests/requests/test_crash_ledger.py
@@ -138,6 +138,17 @@
     assert ledger.refused_for_s(["bad"]) > 1.5 * first_s
 
 
+def test_refusal_that_has_ended_is_not_renewed_by_crashes_before_it():
+    ledger = Ledger()
+    for number in range(3):
+        ledger.crash(number, "bad", f"x{number}")
+        ledger.serve("other")
+    ledger.manual.now += ledger.refused_for_s(["bad"]) + 1.0
+    ledger.crash("other", "elsewhere")
+    ledger.serve("other")
+    assert ledger.refused_for_s(["bad"]) == 0
+
+
 def test_guilty_part_is_found_among_many_sound_requests():
     """Load: one request in 20 crashes its target; 8 others wait there."""
     for seed in range(50):
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -169,7 +169,9 @@
             self.refusals,
             self.served_parts,
         ):
-            if self.refused_for_s([part]):
+            never = float("-inf")
+            if self.suspected_at[part] <= self.refused_until.get(part, never):
+                # Refused now, or not suspected since its refusal ended.
                 continue
             count = self.refusals.get(part, 0)
             seconds = min(FIRST_REFUSAL_S * 2**count, MAX_REFUSAL_S)
