Agents pass on each piece of news about prompts, and its copies once

Found in review: agents took news with the same parts within 5 s for copies, so a part that was cleared after each of several crashes was cleared at other entries only once and stayed suspected there. News has a name now; copies share it. test_part_that_is_cleared_again_is_passed_on_again could not run before, as news had no name; with the key of before it fails.

--- a/tests/sidecar/test_crash_reporter.py
+++ b/tests/sidecar/test_crash_reporter.py
@@ -90,11 +90,22 @@
     assert found == set(requests)
 
 
-def test_news_of_an_entry_is_passed_on_once():
+def test_copies_of_an_entry_s_news_are_passed_on_once():
     agent = Agent()
-    news = reports.PromptNews(refused={"a": 500}, cleared=["b"])
+    news = reports.PromptNews(name="e1 1", refused={"a": 500}, cleared=["b"])
     agent.reporter.handle_news(news, ENTRY)
     agent.reporter.handle_news(
-        reports.PromptNews(refused={"a": 400}, cleared=["b"]), ENTRY
+        reports.PromptNews(name="e1 1", refused={"a": 400}, cleared=["b"]),
+        ENTRY,
     )
     assert agent.sent == [news]
+
+
+def test_part_that_is_cleared_again_is_passed_on_again():
+    agent = Agent()
+    for number in range(2):
+        agent.reporter.handle_news(
+            reports.PromptNews(name=f"e1 {number}", refused={}, cleared=["b"]),
+            ENTRY,
+        )
+    assert len(agent.sent) == 2
--- a/zinniadyke/gateway/_prompt_guard.py
+++ b/zinniadyke/gateway/_prompt_guard.py
@@ -75,6 +75,8 @@
         self.interrupted: dict[tuple[str, int], reports.PartsByRequest] = {}
         self.refused_news: set[ids.PromptPart] = set()
         self.cleared_news: set[ids.PromptPart] = set()
+        self.incarnation = ids.new_incarnation()
+        self.news_count = 0
 
     def check(self, call: _call.Call) -> None:
         """Raise an error for a prompt that crashes targets.
@@ -174,6 +176,8 @@
     def _send_news(self) -> None:
         refused, self.refused_news = self.refused_news, set()
         cleared, self.cleared_news = self.cleared_news, set()
+        self.news_count += 1
+        name = f"{self.incarnation} {self.news_count}"
         for copy in range(NEWS_COPIES):
             if copy:
                 eventlet.sleep(COPY_INTERVAL_S)
@@ -185,6 +189,7 @@
                 0, max(len(still_refused), len(still_cleared)), MAX_PARTS
             ):
                 news = reports.PromptNews(
+                    name=f"{name} {first}",
                     refused={
                         part: int(left_s[part] * MS_PER_S)
                         for part in still_refused[first : first + MAX_PARTS]
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -143,12 +143,15 @@
 
     Attributes
     ----------
+    name
+        Identifies the news; its copies have the same name.
     refused
         Time for which each part is refused, in ms.
     cleared
         Parts that were suspected, and with which a request was served.
     """
 
+    name: str
     refused: dict[str, int]
     cleared: list[str]
 
--- a/zinniadyke/sidecar/_crash_reporter.py
+++ b/zinniadyke/sidecar/_crash_reporter.py
@@ -150,4 +150,4 @@
     """Return what a repeated message has in common with the first."""
     if isinstance(message, reports.CrashReport):
         return message.crash, tuple(sorted(message.requests))
-    return tuple(sorted(message.refused)), tuple(sorted(message.cleared))
+    return message.name
