Requests withdrawn for their prompt count against no target

Found in review: when entries withdraw requests with a part that is refused, the ended connections counted as failures of sound targets, two of which eject one. They are also not repeated, and not told to agents. Requests without shared parts are no longer told either. test_withdrawn_requests_are_not_repeated_and_eject_no_target failed before (targets ejected).

--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -10,6 +10,7 @@
 from tests.gateway import deployment as deploy
 from zinniadyke import fakes
 from zinniadyke import gateway
+from zinniadyke import reports
 from zinniadyke import settings
 from zinniadyke import sidecar
 
@@ -240,6 +241,43 @@
         self.store.stop()
 
 
+def test_withdrawn_requests_are_not_repeated_and_eject_no_target():
+    """Both targets hold a request whose prompt is refused meanwhile."""
+
+    def wait(exchange):
+        exchange.wait_closed(5.0)
+
+    with deploy.deployment(wait, wait) as system:
+        guard = system.gateway.prompt_guard
+        statuses = []
+
+        def ask(number):
+            statuses.append(
+                system.ask(
+                    "/stream/x",
+                    X_Zinniadyke_Request_Id=f"r{number}",
+                    X_Zinniadyke_Model=MODEL,
+                    X_Zinniadyke_Prefix_Hash=f"{DEADLY}:1,own{number}:1",
+                )[0]
+            )
+
+        for number in range(4):
+            eventlet.spawn_n(ask, number)
+        assert deploy.wait_until(lambda: len(guard.running) == 4)
+        guard.handle_news(
+            reports.PromptNews(
+                name="n", refused={f"{MODEL}/{DEADLY}": 5000}, cleared=[]
+            ),
+            "127.0.0.1",
+        )
+        assert deploy.wait_until(lambda: len(statuses) == 4)
+        ask(5)
+        assert statuses == [502] * 4 + [503]
+        states = system.gateway.target_table.states.values()
+        assert sum(len(t.seen) for t in system.targets) == 4
+        assert not any(s.ejected for s in states)
+
+
 @pytest.fixture
 def fleet():
     made = Fleet()
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -200,7 +200,9 @@
             return
         if attempt.misdirected:
             state.mark_replaced()
-        ejected = state.record_failure() if not attempt.refused else False
+        # A withdrawn request says nothing about the target.
+        failed = not (attempt.refused or attempt.withdrawn)
+        ejected = state.record_failure() if failed else False
         if ejected:
             telemetry.count(
                 telemetry.Metric.TARGET_RESTS, label=state.target.service
@@ -224,7 +226,7 @@
         call = relay.call
         if len(call.tried) >= call.route.max_attempts and attempt.sent:
             return False
-        if call.remaining_s <= 0:
+        if call.remaining_s <= 0 or self.prompt_guard.refuses(call):
             return False
         never = call.route.retry_mode is directory.RetryMode.NEVER
         if never and attempt.outcome is not _call.Outcome.NOT_RUN:
--- a/zinniadyke/gateway/_prompt_guard.py
+++ b/zinniadyke/gateway/_prompt_guard.py
@@ -105,9 +105,11 @@
         """Learn from the end of an attempt."""
         self.running.discard(attempt)
         call = attempt.call
+        if attempt.writing or attempt.withdrawn:
+            return
         if attempt.outcome is _call.Outcome.ANSWERED:
             self._record_writing(attempt)
-        elif attempt.cut_off and not attempt.writing and not attempt.withdrawn:
+        elif attempt.cut_off and call.prompt_parts:
             target = attempt.state.target
             if not self.interrupted:
                 eventlet.spawn_after(GATHER_S, self._report_interrupted)
