--- a/zinniadyke/agent/_crash_log.py
+++ b/zinniadyke/agent/_crash_log.py
@@ -53,7 +53,8 @@
         self.on_news = on_news
         self.news = 0
         self.crashes: dict[
-            str, tuple[float, dict[ids.RequestId, list[ids.PromptPart]]]
+            ids.CrashId,
+            tuple[float, dict[ids.RequestId, list[ids.PromptPart]]],
         ] = {}
         self.cut_off: dict[str, dict[ids.RequestId, list[ids.PromptPart]]] = {}
         self.refused_until: dict[ids.PromptPart, float] = {}
@@ -75,7 +76,10 @@
             if self.runs_on(version):
                 continue
             self.news += 1
-            self.crashes[f"{self.incarnation} {self.news}"] = (at, suspects)
+            self.crashes[ids.CrashId(f"{self.incarnation} {self.news}")] = (
+                at,
+                suspects,
+            )
             LOG.warning("engine crashed", extra={"requests": sorted(suspects)})
             self.on_news()
 
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -106,14 +106,15 @@
     RequestError
         The final result, as soon as it is known.
     """
-    pool.prompt_guard.check(call)
+    ledger = pool.prompt_guard.ledger
+    ledger.check(call.prompt_parts)
     pool.retry_budget.deposit()
     excluded: set[ids.HostName] = set()
     for number in range(1, MAX_ATTEMPTS + 1):
         link, version = pool.acquire(call, excluded)
-        if pool.prompt_guard.refuses(call):
+        if ledger.refuses(call.prompt_parts):
             pool.release(link)
-            pool.prompt_guard.check(call)
+            ledger.check(call.prompt_parts)
         attempt = _attempt.Attempt(
             call=call, number=number, link=link, version=version
         )
@@ -198,7 +199,7 @@
 ) -> None:
     if number >= MAX_ATTEMPTS or call.time_left_s() <= 0:
         raise error
-    if pool.prompt_guard.refuses(call):
+    if pool.prompt_guard.ledger.refuses(call.prompt_parts):
         raise error
     if error.code.ran is errors.Ran.NOT_RUN:
         return
--- a/zinniadyke/entry/_prompt_guard.py
+++ b/zinniadyke/entry/_prompt_guard.py
@@ -6,7 +6,6 @@
 import eventlet
 
 from zinniadyke.entry import _caller_request
-from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import peers
 from zinniadyke import requests
@@ -36,24 +35,6 @@
         self.refused: set[ids.PromptPart] = set()
         self.cleared: set[ids.PromptPart] = set()
 
-    def check(self, call: _caller_request.CallerRequest) -> None:
-        """Raise an error for a prompt that crashes engines.
-
-        Raises
-        ------
-        RequestError
-            A part of the prompt is refused.
-        """
-        seconds = self.ledger.refused_for_s(call.prompt_parts)
-        if seconds > 0:
-            raise errors.RequestError(
-                code=errors.ResultCode.PROMPT_REFUSED, retry_after_s=seconds
-            )
-
-    def refuses(self, call: _caller_request.CallerRequest) -> bool:
-        """Whether a part of a request's prompt is refused."""
-        return self.ledger.refused_for_s(call.prompt_parts) > 0
-
     def record_served(self, call: _caller_request.CallerRequest) -> None:
         """Record that an engine has answered a request."""
         self.ledger.record_served(call.prompt_parts)
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -91,7 +91,7 @@
         RequestError
             The final result; nothing was sent to the caller.
         """
-        self.prompt_guard.check(call)
+        self.prompt_guard.ledger.check(call.prompt_parts)
         admission = self._admission(call.service)
         self._budget(call.service).deposit()
         relay = _response_relay.ResponseRelay(call=call, caller=caller)
@@ -147,7 +147,7 @@
     ) -> None:
         """Give a target's slot back if the prompt is refused by now."""
         try:
-            self.prompt_guard.check(call)
+            self.prompt_guard.ledger.check(call.prompt_parts)
         except errors.RequestError:
             admission.release(state)
             raise
@@ -226,7 +226,9 @@
         call = relay.call
         if len(call.tried) >= call.route.max_attempts and attempt.sent:
             return False
-        if call.remaining_s <= 0 or self.prompt_guard.refuses(call):
+        if call.remaining_s <= 0:
+            return False
+        if self.prompt_guard.ledger.refuses(call.prompt_parts):
             return False
         never = call.route.retry_mode is directory.RetryMode.NEVER
         if never and attempt.outcome is not _call.Outcome.NOT_RUN:
--- a/zinniadyke/gateway/_prompt_guard.py
+++ b/zinniadyke/gateway/_prompt_guard.py
@@ -7,7 +7,6 @@
 
 import eventlet
 
-from zinniadyke import errors
 from zinniadyke.gateway import _attempt
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _target_table
@@ -78,24 +77,6 @@
         self.incarnation = ids.new_incarnation()
         self.news_count = 0
 
-    def check(self, call: _call.Call) -> None:
-        """Raise an error for a prompt that crashes targets.
-
-        Raises
-        ------
-        RequestError
-            A part of the prompt is refused.
-        """
-        seconds = self.ledger.refused_for_s(call.prompt_parts)
-        if seconds > 0:
-            raise errors.RequestError(
-                code=errors.ResultCode.PROMPT_REFUSED, retry_after_s=seconds
-            )
-
-    def refuses(self, call: _call.Call) -> bool:
-        """Whether a part of a call's prompt is refused."""
-        return self.ledger.refused_for_s(call.prompt_parts) > 0
-
     def begin(self, attempt: _attempt.Attempt) -> None:
         """Follow an attempt from its start on."""
         attempt.on_writing = self._record_writing
--- a/zinniadyke/ids.py
+++ b/zinniadyke/ids.py
@@ -18,6 +18,7 @@
 TargetId = NewType("TargetId", str)
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 WeightsVersion = NewType("WeightsVersion", int)
+CrashId = NewType("CrashId", str)
 # A model and the hash of one part of its prompts.
 PromptPart = NewType("PromptPart", str)
 
--- a/zinniadyke/peers/_crash_messages.py
+++ b/zinniadyke/peers/_crash_messages.py
@@ -18,7 +18,7 @@
         Prompt parts of the requests that the engine had not begun to answer.
     """
 
-    crash: str
+    crash: ids.CrashId
     age_s: float
     suspects: dict[ids.RequestId, list[ids.PromptPart]]
 
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from zinniadyke import ids
 
 VersionAgesMs = dict[str, dict[int, int | None]]
 
@@ -131,7 +132,7 @@
     """
 
     address: str
-    crash: str
+    crash: ids.CrashId
     age_ms: int
     requests: PartsByRequest
 
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -7,6 +7,7 @@
 import logging
 import time
 
+from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.requests import _crash
 from zinniadyke.requests import _crash_causes
@@ -59,8 +60,8 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         """Start without crashes."""
         self.clock = clock
-        self.crashes: dict[object, _crash.Crash] = {}
-        self.served_before: dict[object, int] = {}
+        self.crashes: dict[ids.CrashId, _crash.Crash] = {}
+        self.served_before: dict[ids.CrashId, int] = {}
         self.suspected_at: dict[ids.PromptPart, float] = {}
         self.last_served_at: dict[ids.PromptPart, float] = {}
         self.served = 0
@@ -72,7 +73,7 @@
 
     def record_crash(
         self,
-        crash_id: object,
+        crash_id: ids.CrashId,
         at: float,
         suspects: Mapping[ids.RequestId, frozenset[ids.PromptPart]],
     ) -> None:
@@ -143,6 +144,24 @@
         if until > self.refused_until.get(part, float("-inf")):
             self._set_refused(part, until)
 
+    def check(self, parts: Iterable[ids.PromptPart]) -> None:
+        """Raise an error for a prompt that crashes targets.
+
+        Raises
+        ------
+        RequestError
+            A part of the prompt is refused.
+        """
+        seconds = self.refused_for_s(parts)
+        if seconds > 0:
+            raise errors.RequestError(
+                code=errors.ResultCode.PROMPT_REFUSED, retry_after_s=seconds
+            )
+
+    def refuses(self, parts: Iterable[ids.PromptPart]) -> bool:
+        """Whether a prompt with these parts is refused."""
+        return self.refused_for_s(parts) > 0
+
     def refused_for_s(self, parts: Iterable[ids.PromptPart]) -> float:
         """Return for how long a request must be refused; 0 if not at all."""
         if not self.refused_until:
