Own interface: a part that is cleared again is told at once again

Found in review: agents held back a part that was cleared twice within 5 s until their next status, so it stayed suspected at other entries for up to 2 s. test_part_that_is_cleared_again_is_news_again failed before.

--- a/tests/agent/test_crash_log.py
+++ b/tests/agent/test_crash_log.py
@@ -59,6 +59,13 @@
     assert set(told.cleared) == {"b"}
 
 
+def test_part_that_is_cleared_again_is_news_again():
+    made = Log()
+    made.log.record_findings(peers.PromptFindings(cleared={"b": 1.0}))
+    made.log.record_findings(peers.PromptFindings(cleared={"b": 0.0}))
+    assert made.told == 2
+
+
 def test_cleared_part_is_refused_no_more():
     made = Log()
     made.log.record_findings(peers.PromptFindings(refused={"a": 5.0}))
--- a/zinniadyke/agent/_crash_log.py
+++ b/zinniadyke/agent/_crash_log.py
@@ -15,6 +15,8 @@
 GATHER_S = 0.05
 # Entries have heard of what is older than this.
 MEMORY_S = 5.0
+# A part that two entries clear at once is one piece of news.
+SAME_NEWS_S = 0.1
 # Parts that are passed on, the latest ones.
 MAX_PARTS = 256
 
@@ -92,7 +94,7 @@
             self.refused_until[part] = now + seconds
         for part, age_s in findings.cleared.items():
             at = now - age_s
-            if at > self.cleared_at.get(part, float("-inf")) + MEMORY_S:
+            if at > self.cleared_at.get(part, float("-inf")) + SAME_NEWS_S:
                 is_new = True
             self.cleared_at[part] = at
             self.refused_until.pop(part, None)
