Prompt parts are found while nothing is served, and later if served before

Now a part that was never served and alone leads by five crashes is convicted then too, and the own interface takes a request for served 0.25 s after its answer began, as the gateway does. In the other direction a part that was served before the crashes needs five of them, so that callers who go unserved in a series of crashes are not blamed.

--- a/tests/requests/test_crash_ledger.py
+++ b/tests/requests/test_crash_ledger.py
@@ -60,6 +60,15 @@
     assert ledger.found == []
 
 
+def test_part_is_found_while_targets_crash_too_often_to_serve_anything():
+    ledger = Ledger()
+    ledger.serve("shared")
+    for number in range(5):
+        assert ledger.found == []
+        ledger.crash(number, "shared bad", f"shared x{number}")
+    assert ledger.found == ["bad"]
+
+
 def test_crashes_at_the_same_moment_count_as_one():
     ledger = Ledger()
     for number in range(6):
@@ -86,6 +95,29 @@
     assert ledger.found == ["bad"]
 
 
+def test_part_served_before_the_crashes_needs_more_of_them():
+    """Callers with a common part go unserved while targets crash in turn."""
+    ledger = Ledger()
+    ledger.serve("common")
+    for number in range(4):
+        ledger.crash(number, "common", "common")
+        ledger.serve("other")
+    assert ledger.found == []
+    ledger.crash(4, "common", "common")
+    ledger.serve("other")
+    assert ledger.found == ["common"]
+
+
+def test_part_that_was_never_served_is_refused_before_a_more_frequent_one():
+    ledger = Ledger()
+    ledger.serve("common")
+    ledger.crash(0, "common", "common")
+    for number in range(1, 4):
+        ledger.crash(number, "common bad", "common bad")
+    ledger.serve("other")
+    assert ledger.found == ["bad"]
+
+
 def test_crashes_that_a_refused_part_explains_convict_no_other():
     ledger = Ledger()
     ledger.serve("other")
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import logging
+import time
 
 import eventlet
 import msgspec
@@ -17,6 +18,9 @@
 
 MAX_ATTEMPTS = 8
 RETRY_BACKOFF_S = 0.02
+# An engine that crashes on a request does so as it begins the answer, and may
+# have sent the first part by then.
+WRITING_AFTER_S = 0.25
 
 
 class TargetResponse(msgspec.Struct, kw_only=True):
@@ -71,11 +75,22 @@
         RequestError
             The response was cut short.
         """
+        guard = self.pool.prompt_guard
+        call = self.attempt.call
+        started_at = time.monotonic()
+        recorded = False
         try:
             yield from self.first_parts
-            yield from self.rest
+            for part in self.rest:
+                if not recorded and (
+                    time.monotonic() - started_at >= WRITING_AFTER_S
+                ):
+                    guard.record_served(call)
+                    recorded = True
+                yield part
             self.attempt.record_result(False)
-            self.pool.prompt_guard.record_served(self.attempt.call)
+            if not recorded:
+                guard.record_served(call)
         except errors.RequestError:
             self.attempt.record_result(True)
             raise
--- a/zinniadyke/requests/_crash_causes.py
+++ b/zinniadyke/requests/_crash_causes.py
@@ -17,9 +17,10 @@
 # Crashes within this time of the previous one count as one: when a rack loses
 # power, all requests there are alike.
 SAME_MOMENT_S = 0.05
-# Crashes that convict a part if no other part has as many.
+# Crashes that convict a part that was never served, if no other such part has
+# as many.
 MIN_CRASHES = 3
-# Crashes that convict all parts that have the most.
+# Crashes that convict all parts with the most, also those served before.
 MIN_CRASHES_OF_EQUALS = 5
 # A single request that is repeated meets several crashes by itself.
 MIN_REQUESTS = 2
@@ -32,6 +33,8 @@
     last_served_at: Mapping[ids.PromptPart, float],
     known: Collection[ids.PromptPart],
     ever_served: Collection[ids.PromptPart],
+    *,
+    is_serving: bool = True,
 ) -> set[ids.PromptPart]:
     """Return the parts that must be the cause of crashes.
 
@@ -43,8 +46,11 @@
         Parts that were found to be the cause of earlier crashes; one more
         crash convicts them again.
     ever_served
-        Parts with which a request was served at any time. Between equals
-        they are the less likely cause.
+        Parts with which a request was served at any time, which makes them
+        a less likely cause.
+    is_serving
+        Whether any request was served since the first of the crashes. If
+        not, parts could not be cleared, and it takes more to convict one.
     """
     unexplained = [
         s for s in _suspects_by_moment(crashes, last_served_at) if s
@@ -56,7 +62,9 @@
             counts.update(suspects.keys())
         found = counts.keys() & set(known)
         if not found:
-            found = _most_frequent(counts, unexplained, ever_served)
+            found = _most_frequent(
+                counts, unexplained, ever_served, is_serving=is_serving
+            )
         if not found:
             return causes
         causes |= found
@@ -85,18 +93,34 @@
     counts: collections.Counter[ids.PromptPart],
     unexplained: list[Suspects],
     ever_served: Collection[ids.PromptPart],
+    *,
+    is_serving: bool,
 ) -> set[ids.PromptPart]:
-    """Return the parts with the most crashes, if these are enough."""
-    most = max(counts.values(), default=0)
-    if most < MIN_CRASHES:
-        return set()
-    leading = {part for part, count in counts.items() if count == most}
-    leading = leading.difference(ever_served) or leading
-    if len(leading) > 1 and most < MIN_CRASHES_OF_EQUALS:
-        return set()
-    return {
-        part
-        for part in leading
-        if len(set().union(*(s.get(part, ()) for s in unexplained)))
-        >= MIN_REQUESTS
-    }
+    """Return the parts with the most crashes, if these are enough.
+
+    Parts that were served before the crashes come second and need more.
+    """
+    never_served = counts.keys() - set(ever_served)
+    groups = [
+        (never_served, MIN_CRASHES),
+        (counts.keys() - never_served, MIN_CRASHES_OF_EQUALS),
+    ]
+    if not is_serving:
+        # Before anything was served, all parts look alike.
+        groups = [(never_served, MIN_CRASHES_OF_EQUALS)] if ever_served else []
+    for parts, min_crashes in groups:
+        most = max((counts[part] for part in parts), default=0)
+        leading = {part for part in parts if counts[part] == most}
+        if len(leading) > 1:
+            min_crashes = MIN_CRASHES_OF_EQUALS if is_serving else float("inf")
+        if most < min_crashes:
+            continue
+        found = {
+            part
+            for part in leading
+            if len(set().union(*(s.get(part, ()) for s in unexplained)))
+            >= MIN_REQUESTS
+        }
+        if found:
+            return found
+    return set()
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -23,9 +23,6 @@
 # Time for which a part is refused; doubles each time it is found again.
 FIRST_REFUSAL_S = 60.0
 MAX_REFUSAL_S = 3600.0
-# Requests that must be served after the first crash before a part is
-# convicted: when nothing is served, no part can be cleared.
-MIN_SERVED = 1
 # Parts of served requests that are remembered, the latest ones.
 MAX_SERVED_PARTS = 4096
 
@@ -100,7 +97,7 @@
         if not (self.crashes or self.refusals):
             return
         cleared = [self.clear(part) for part in parts]
-        if any(cleared) or self._served_since_first_crash() == MIN_SERVED:
+        if any(cleared) or self._served_since_first_crash() == 1:
             self._convict()
 
     def clear(
@@ -183,10 +180,11 @@
 
     def _convict(self) -> None:
         for part in _crash_causes.find_causes(
-            self._provable_crashes(),
+            self.crashes.values(),
             self.last_served_at,
             self.refusals,
             self.served_parts,
+            is_serving=self._served_since_first_crash() > 0,
         ):
             never = float("-inf")
             if self.suspected_at[part] <= self.refused_until.get(part, never):
@@ -209,12 +207,6 @@
             self._set_refused(part, self.clock() + seconds)
             self.on_refused(part)
 
-    def _provable_crashes(self) -> list[_crash.Crash]:
-        """Return the crashes after which requests have been served."""
-        if self._served_since_first_crash() < MIN_SERVED:
-            return []
-        return list(self.crashes.values())
-
     def _served_since_first_crash(self) -> int:
         return self.served - min(
             self.served_before.values(), default=self.served
