--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -12,15 +12,13 @@
 from zinniadyke.entry import _target_pool
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import requests
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 8
 RETRY_BACKOFF_S = 0.02
-# An engine that crashes on a request does so as it begins the answer, and may
-# have sent the first part by then.
-WRITING_AFTER_S = 0.25
 
 
 class TargetResponse(msgspec.Struct, kw_only=True):
@@ -83,7 +81,7 @@
             yield from self.first_parts
             for part in self.rest:
                 if not recorded and (
-                    time.monotonic() - started_at >= WRITING_AFTER_S
+                    time.monotonic() - started_at >= requests.WRITING_AFTER_S
                 ):
                     guard.record_served(call)
                     recorded = True
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -11,6 +11,7 @@
 from zinniadyke.gateway import _target_state
 from zinniadyke import platform
 from zinniadyke.platform import headers
+from zinniadyke import requests
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -22,9 +23,6 @@
 # Time beyond the deadline for the response to arrive, as the target itself
 # ends overdue requests at the deadline that it received.
 RESPONSE_GRACE_S = 0.15
-# A target that crashes on a request does so as it begins the answer, and may
-# have sent the first event by then.
-WRITING_AFTER_S = 0.25
 
 # Hop-by-hop headers, the caller's API key, and headers that the entry sets
 # itself or that callers must not set.
@@ -190,7 +188,7 @@
         if self.first_event_at is None:
             self.first_event_at = now
         elif not self.writing and (
-            now - self.first_event_at >= WRITING_AFTER_S
+            now - self.first_event_at >= requests.WRITING_AFTER_S
         ):
             self.writing = True
             self.on_writing(self)
--- a/zinniadyke/gateway/_prompt_guard.py
+++ b/zinniadyke/gateway/_prompt_guard.py
@@ -14,7 +14,6 @@
 from zinniadyke import rendezvous
 from zinniadyke import reports
 from zinniadyke import requests
-from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -65,15 +64,14 @@
         self.regions = regions
         self.target_table = target_table
         self.ledger = requests.CrashLedger()
-        self.ledger.on_refused = self._on_refused
-        self.ledger.on_cleared = self._on_cleared
+        self.findings = requests.CrashFindings(
+            ledger=self.ledger, tell=self._tell
+        )
         self.send: Callable[[reports.Message, str], None] = (
             lambda message, host_ip: None
         )
         self.running: set[_attempt.Attempt] = set()
         self.interrupted: dict[tuple[str, int], reports.PartsByRequest] = {}
-        self.refused_news: set[ids.PromptPart] = set()
-        self.cleared_news: set[ids.PromptPart] = set()
         self.incarnation = ids.new_incarnation()
         self.news_count = 0
 
@@ -141,24 +139,11 @@
                     address.rpartition(":")[0],
                 )
 
-    def _on_refused(self, part: ids.PromptPart) -> None:
-        telemetry.count(telemetry.Metric.PROMPT_PARTS_REFUSED)
-        self._withdraw([part])
-        self._announce(self.refused_news, part)
-
-    def _on_cleared(self, part: ids.PromptPart) -> None:
-        self._announce(self.cleared_news, part)
-
-    def _announce(
-        self, news: set[ids.PromptPart], part: ids.PromptPart
+    def _tell(
+        self, refused: set[ids.PromptPart], cleared: set[ids.PromptPart]
     ) -> None:
-        if not (self.refused_news or self.cleared_news):
-            eventlet.spawn_after(GATHER_S, self._send_news)
-        news.add(part)
-
-    def _send_news(self) -> None:
-        refused, self.refused_news = self.refused_news, set()
-        cleared, self.cleared_news = self.cleared_news, set()
+        """Withdraw what is refused, and tell other entries."""
+        self._withdraw(refused)
         self.news_count += 1
         name = f"{self.incarnation} {self.news_count}"
         for copy in range(NEWS_COPIES):
@@ -166,7 +151,6 @@
                 eventlet.sleep(COPY_INTERVAL_S)
             left_s = self.ledger.refused_parts()
             still_refused = sorted(refused & left_s.keys())
-            # A part that was refused meanwhile is not cleared.
             still_cleared = sorted(cleared - left_s.keys())
             for first in range(
                 0, max(len(still_refused), len(still_cleared)), MAX_PARTS
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -4,7 +4,9 @@
 from zinniadyke.requests._claims import claim_key
 from zinniadyke.requests._claims import ClaimState
 from zinniadyke.requests._claims import ClaimStore
+from zinniadyke.requests._crash_findings import CrashFindings
 from zinniadyke.requests._crash_ledger import CrashLedger
+from zinniadyke.requests._crash_ledger import WRITING_AFTER_S
 from zinniadyke.requests._fair_queue import FairQueue
 from zinniadyke.requests._histograms import Histograms
 from zinniadyke.requests._retry_budget import RetryBudget
@@ -15,9 +17,11 @@
 from zinniadyke.requests._workspace_limiter import WorkspaceLimiter
 
 __all__ = [
+    "WRITING_AFTER_S",
     "Claim",
     "ClaimState",
     "ClaimStore",
+    "CrashFindings",
     "CrashLedger",
     "FairQueue",
     "Histograms",
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -14,6 +14,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# A target that crashes on a request does so as it begins the answer, and may
+# have sent the first part by then. One that goes on this long has served it.
+WRITING_AFTER_S = 0.25
 # Crashes are forgotten after this time.
 MEMORY_S = 120.0
 # Latest crashes that are kept.
