--- a/tests/entry/test_crashing_prompts.py
+++ b/tests/entry/test_crashing_prompts.py
@@ -10,13 +10,13 @@
 from zinniadyke import objects
 from zinniadyke import requests
 
-DEADLY = "the deadly message"
+CRASHING = "the crashing message"
 SHARED = {"role": "system", "content": "the clinic's instructions"}
 KIB = 1024
 # Result code of a prompt that is refused for one of its parts.
 REFUSED = "3008"
 # Requests with the message from which the entries have to learn it.
-MAX_DEADLY = 30
+MAX_CRASHING = 30
 DEPLOYMENT = demo.Deployment(
     name="cell",
     region="egypt",
@@ -67,7 +67,7 @@
         assert deploy.wait_until(self.all_serve, 30.0)
         for engine in cluster.engines.values():
             engine.seconds_per_word = 0.06
-            engine.faults.crash_on = DEADLY
+            engine.faults.crash_on = CRASHING
 
     def all_serve(self):
         """Whether every entry knows all engines to serve."""
@@ -121,16 +121,16 @@
 def test_message_that_crashes_engines_is_refused_by_all_entries(fleet):
     def refused(numbers):
         return all(
-            fleet.answers.get(("deadly", n), ())[::2] == (503, REFUSED)
+            fleet.answers.get(("crashing", n), ())[::2] == (503, REFUSED)
             for n in numbers
         )
 
     learnt_from = 0
-    for number in range(MAX_DEADLY):
+    for number in range(MAX_CRASHING):
         if number >= 2 and refused((number - 2, number - 1)):
             learnt_from = number
             break
-        eventlet.spawn_n(fleet.ask, "deadly", number, DEADLY)
+        eventlet.spawn_n(fleet.ask, "crashing", number, CRASHING)
         for copy in range(3):
             eventlet.spawn_n(fleet.ask, "sound", 3 * number + copy)
         eventlet.sleep(0.3)
@@ -142,7 +142,7 @@
     crashes = fleet.crashes
     later = range(learnt_from, learnt_from + 6)
     for number in later:
-        fleet.ask("deadly", number, DEADLY)
+        fleet.ask("crashing", number, CRASHING)
         fleet.ask("sound", 1000 + number)
     assert refused(later)
     assert all(
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -15,7 +15,7 @@
 from zinniadyke import sidecar
 
 MODEL = "m"
-DEADLY = "dead01"
+CRASHING = "bad001"
 SHARED = "5a5a01"
 ENTRIES = 3
 TARGETS = 4
@@ -26,19 +26,19 @@
 # Result code of a prompt that is refused for one of its parts.
 REFUSED = "3008"
 # Requests with the part from which the entries have to learn it.
-MAX_DEADLY = 30
+MAX_CRASHING = 30
 NETWORK = "127.9.1"
 
 
 class CrashingTarget:
-    """A model server that crashes when it begins a deadly request."""
+    """A model server that crashes when it begins a crashing request."""
 
     def __init__(self, *, system, number):
         self.system = system
         self.ip = f"{NETWORK}.{100 + number}"
         self.address = f"{self.ip}:{system.target_port}"
         self.starts = 0
-        self.deadly_arrivals = []
+        self.crashing_arrivals = []
         self.crashed_at = []
         self.start()
 
@@ -75,12 +75,12 @@
             exchange.answer(200, json.dumps(report).encode())
             return
         parts = exchange.headers.get("x-zinniadyke-prefix-hash", "")
-        if DEADLY in parts:
-            self.deadly_arrivals.append(time.monotonic())
+        if CRASHING in parts:
+            self.crashing_arrivals.append(time.monotonic())
         self.open.add(exchange)
         try:
             eventlet.sleep(FIRST_EVENT_S)
-            if DEADLY in parts:
+            if CRASHING in parts:
                 self.crash()
                 return
             exchange.head(
@@ -229,8 +229,8 @@
             connection.close()
 
     @property
-    def deadly_arrivals(self):
-        return sorted(at for t in self.targets for at in t.deadly_arrivals)
+    def crashing_arrivals(self):
+        return sorted(at for t in self.targets for at in t.crashing_arrivals)
 
     @property
     def crashes(self):
@@ -261,7 +261,7 @@
                     "/stream/x",
                     X_Zinniadyke_Request_Id=f"r{number}",
                     X_Zinniadyke_Model=MODEL,
-                    X_Zinniadyke_Prefix_Hash=f"{DEADLY}:1,own{number}:1",
+                    X_Zinniadyke_Prefix_Hash=f"{CRASHING}:1,own{number}:1",
                 )[0]
             )
 
@@ -270,7 +270,7 @@
         assert deploy.wait_until(lambda: len(guard.running) == 4)
         guard.handle_news(
             reports.PromptNews(
-                name="n", refused={f"{MODEL}/{DEADLY}": 5000}, cleared=[]
+                name="n", refused={f"{MODEL}/{CRASHING}": 5000}, cleared=[]
             ),
             "127.0.0.1",
         )
@@ -310,8 +310,8 @@
             number % ENTRIES, f"{kind}{number}", parts
         )
 
-    def ask_deadly(number):
-        ask("d", number, f"{SHARED}:40,{DEADLY}:30,d{number:05x}:100")
+    def ask_crashing(number):
+        ask("d", number, f"{SHARED}:40,{CRASHING}:30,d{number:05x}:100")
 
     def ask_sound(number):
         ask("s", number, f"{SHARED}:40,{number:06x}:100")
@@ -322,11 +322,11 @@
         )
 
     learnt_from = 0
-    for number in range(MAX_DEADLY):
+    for number in range(MAX_CRASHING):
         if number >= ENTRIES and refused(range(number - ENTRIES, number)):
             learnt_from = number
             break
-        eventlet.spawn_n(ask_deadly, number)
+        eventlet.spawn_n(ask_crashing, number)
         for copy in range(3):
             eventlet.spawn_n(ask_sound, 3 * number + copy)
         eventlet.sleep(0.3)
@@ -338,14 +338,14 @@
             for g in fleet.gateways
         )
     )
-    arrivals, crashes = len(fleet.deadly_arrivals), len(fleet.crashes)
+    arrivals, crashes = len(fleet.crashing_arrivals), len(fleet.crashes)
     later = range(learnt_from, learnt_from + 3 * ENTRIES)
     for number in later:
-        ask_deadly(number)
+        ask_crashing(number)
         ask_sound(1000 + number)
     assert refused(later)
     assert all(
         answers["s", 1000 + number] == (200, "", True) for number in later
     )
-    assert len(fleet.deadly_arrivals) == arrivals
+    assert len(fleet.crashing_arrivals) == arrivals
     assert len(fleet.crashes) == crashes
--- a/tests/requests/test_crash_ledger.py
+++ b/tests/requests/test_crash_ledger.py
@@ -118,7 +118,7 @@
     assert ledger.found == ["bad"]
 
 
-def test_crashes_that_a_refused_part_explains_convict_no_other():
+def test_crashes_that_a_refused_part_explains_refuse_no_other():
     ledger = Ledger()
     ledger.serve("other")
     for number in range(3):
@@ -181,7 +181,7 @@
     assert ledger.refused_for_s(["bad"]) == 0
 
 
-def test_guilty_part_is_found_among_many_sound_requests():
+def test_crashing_part_is_found_among_many_sound_requests():
     """Load: one request in 20 crashes its target; 8 others wait there."""
     for seed in range(50):
         drawn = random.Random(seed)
--- a/zinniadyke/fakes/_engine.py
+++ b/zinniadyke/fakes/_engine.py
@@ -201,9 +201,9 @@
         return self.seconds_per_word * (1 + spread)
 
     def _apply_crash(self, body: dict, crashes: int) -> None:
-        """Crash on a deadly prompt, or end with the engine that crashed."""
-        deadly = self.faults.crash_on
-        if deadly and deadly in str(body) and not self.faults.down:
+        """Crash on a set prompt, or end with the engine that crashed."""
+        text = self.faults.crash_on
+        if text and text in str(body) and not self.faults.down:
             self.crashes += 1
             self.faults.down = True
             eventlet.spawn_after(self.faults.crash_s, self._restart)
--- a/zinniadyke/requests/_crash_causes.py
+++ b/zinniadyke/requests/_crash_causes.py
@@ -17,10 +17,10 @@
 # Crashes within this time of the previous one count as one: when a rack loses
 # power, all requests there are alike.
 SAME_MOMENT_S = 0.05
-# Crashes that convict a part that was never served, if no other such part has
+# Crashes after which a part that was never served is refused, if no other has
 # as many.
 MIN_CRASHES = 3
-# Crashes that convict all parts with the most, also those served before.
+# Crashes after which all parts with the most are refused, also those served.
 MIN_CRASHES_OF_EQUALS = 5
 # A single request that is repeated meets several crashes by itself.
 MIN_REQUESTS = 2
@@ -44,13 +44,13 @@
         Monotonic time at which a request with a part was last served.
     known
         Parts that were found to be the cause of earlier crashes; one more
-        crash convicts them again.
+        crash makes them the cause again.
     ever_served
         Parts with which a request was served at any time, which makes them
         a less likely cause.
     is_serving
         Whether any request was served since the first of the crashes. If
-        not, parts could not be cleared, and it takes more to convict one.
+        not, parts could not be cleared, and more crashes are needed.
     """
     unexplained = [
         s for s in _suspects_by_moment(crashes, last_served_at) if s
--- a/zinniadyke/requests/_crash_ledger.py
+++ b/zinniadyke/requests/_crash_ledger.py
@@ -87,7 +87,7 @@
             latest = self.suspected_at.get(part, at)
             self.suspected_at[part] = max(latest, at)
         self.served_before.setdefault(crash_id, self.served)
-        self._convict()
+        self._refuse_causes()
 
     def record_served(self, parts: Collection[ids.PromptPart]) -> None:
         """Record that a target went on with a request after it began."""
@@ -101,7 +101,7 @@
             return
         cleared = [self.clear(part) for part in parts]
         if any(cleared) or self._served_since_first_crash() == 1:
-            self._convict()
+            self._refuse_causes()
 
     def clear(
         self,
@@ -181,7 +181,7 @@
             if until > now
         }
 
-    def _convict(self) -> None:
+    def _refuse_causes(self) -> None:
         for part in _crash_causes.find_causes(
             self.crashes.values(),
             self.last_served_at,
