Limits that targets name are read, logged and counted

Entries and agents read the header now; placement does not use it yet. An answer that names no limit ends it only if it was asked for later than the limit was named, and an agent's report only if the agent had reported the limit.

--- a/tests/gateway/test_target_state.py
+++ b/tests/gateway/test_target_state.py
@@ -117,3 +117,29 @@
     assert {choose_target() for _ in range(50)} == {far}
     far.in_flight = far.request_capacity
     assert choose_target() is near
+
+
+def test_limit_holds_until_an_answer_asked_for_later_names_none(fake_clock):
+    state = make_state()
+    state.record_limit(2.0)
+    state.record_no_limit(fake_clock.now - 0.2)
+    assert state.limit_per_s == 2.0
+    fake_clock.now += 1.0
+    state.record_no_limit(fake_clock.now - 0.2)
+    assert state.limit_per_s is None
+
+
+def test_agents_report_ends_only_a_limit_that_it_named(fake_clock):
+    state = make_state()
+    state.record_limit(2.0)
+    fake_clock.now += 5.0
+    state.record_agent_limit(None)
+    assert state.limit_per_s == 2.0
+    state.record_agent_limit(1.0)
+    assert state.limit_per_s == 1.0
+    fake_clock.now += 0.1
+    state.record_agent_limit(None)
+    assert state.limit_per_s == 1.0
+    fake_clock.now += 1.0
+    state.record_agent_limit(None)
+    assert state.limit_per_s is None
--- a/zinniadyke/decimal_text.py
+++ b/zinniadyke/decimal_text.py
@@ -1,7 +1,10 @@
-"""Reads counts from text that others sent."""
+"""Reads counts and decimal numbers from text that others sent."""
+
+import re
 
 # Numbers of more digits are no counts, and int() refuses some thousand digits.
 MAX_DIGITS = 18
+DECIMAL = re.compile(r"\d{1,12}(\.\d*)?|\.\d+", re.ASCII)
 
 
 def parse_count(text: str | bytes) -> int | None:
@@ -13,3 +16,12 @@
     if len(text) > MAX_DIGITS or not (text.isascii() and text.isdigit()):
         return None
     return int(text)
+
+
+def parse_decimal(text: str) -> float | None:
+    """Return a number such as ``1.5``; None if the text is none.
+
+    ``float`` also accepts signs, exponents, infinity and other digits.
+    """
+    text = text.strip()
+    return float(text) if DECIMAL.fullmatch(text) else None
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -138,6 +138,7 @@
         self._record_load()
         self._record_retry_after()
         self._check_head()
+        self._record_limit()
         if self.connection.header(headers.LEAVING) == "1":
             self.on_leaving(self)
 
@@ -242,6 +243,20 @@
         if len(counts) == 3 and None not in counts:
             self.state.record_load(counts[0], counts[1])
 
+    def _record_limit(self) -> None:
+        """Record the limit that the target names, or that it names none.
+
+        What is no answer of the target, or of another one, says nothing.
+        """
+        if self.outcome is _call.Outcome.BROKEN or self.misdirected:
+            return
+        text = self.connection.header(headers.TARGET_LIMIT)
+        limit_per_s = platform.parse_limit(text, self.connection.address)
+        if limit_per_s is not None:
+            self.state.record_limit(limit_per_s)
+        elif not text:
+            self.state.record_no_limit(self.started_at)
+
     def _record_retry_after(self) -> None:
         """Send the target nothing for the time that its 503 asks for."""
         if self.connection.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -145,6 +145,7 @@
                 else time.monotonic() + report.switch_in_ms / MS_PER_S
             )
             state.weights = report.weights
+            state.record_agent_limit(report.limit_per_s)
             if report.leaving:
                 leaving.append(target)
             self.on_report()
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -1,10 +1,14 @@
 """Load and health of one target, as known to an entry."""
 
+import logging
 import random
 import time
 
 from zinniadyke import directory
 from zinniadyke.gateway import _report_delay
+from zinniadyke import telemetry
+
+LOG = logging.getLogger(__name__)
 
 # Older load reports are ignored. Agents report at least every 0.3 s.
 REPORT_MAX_AGE_S = 4.0
@@ -21,6 +25,9 @@
 # Time without requests to a target whose address now belongs to another;
 # its registration expires within a few seconds.
 REPLACED_BACKOFF_S = 3.0
+# An agent's report without a limit may be older than an answer with one by
+# this much.
+REPORT_LAG_S = 0.5
 
 
 class TargetState:
@@ -52,6 +59,13 @@
         Whether the target rejects new requests while it switches weights.
     outdated
         Whether a later-started target is registered at the same address.
+    limit_per_s
+        Requests a second that the target takes from all entries together;
+        None if it names no limit.
+    limit_named_at
+        Monotonic time at which it was last named.
+    agent_names_limit
+        Whether the agent's last report named a limit.
     closed_until
         Monotonic time until which the target wants no request from this
         host.
@@ -80,6 +94,9 @@
         self.outdated = False
         self.replaced_until = float("-inf")
         self.closed_until = float("-inf")
+        self.limit_per_s: float | None = None
+        self.limit_named_at = float("-inf")
+        self.agent_names_limit = False
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
@@ -90,6 +107,50 @@
             self.request_capacity - self.reported_requests, self.entries
         )
 
+    def record_limit(self, limit_per_s: float) -> None:
+        """Record that the target names a limit."""
+        self.limit_named_at = time.monotonic()
+        self._set_limit(limit_per_s)
+
+    def record_no_limit(self, asked_at: float) -> None:
+        """Record that an answer names no limit.
+
+        Parameters
+        ----------
+        asked_at
+            Monotonic time before which the target did not give the answer.
+        """
+        if asked_at > self.limit_named_at:
+            self._set_limit(None)
+
+    def record_agent_limit(self, limit_per_s: float | None) -> None:
+        """Record the limit in a report of the target's agent."""
+        if limit_per_s is not None:
+            self.record_limit(limit_per_s)
+        elif self.agent_names_limit:
+            self.record_no_limit(time.monotonic() - REPORT_LAG_S)
+        # A report that was too early to end the limit leaves that to the next.
+        self.agent_names_limit = limit_per_s is not None or (
+            self.agent_names_limit and self.limit_per_s is not None
+        )
+
+    def _set_limit(self, limit_per_s: float | None) -> None:
+        if limit_per_s == self.limit_per_s:
+            return
+        self.limit_per_s = limit_per_s
+        LOG.info(
+            "target limits requests",
+            extra={
+                "target": self.target.id,
+                "service": self.target.service,
+                "limit_per_s": limit_per_s,
+                "entries": self.entries,
+            },
+        )
+        telemetry.count(
+            telemetry.Metric.TARGET_LIMITS, label=self.target.service
+        )
+
     def record_success(self) -> None:
         """Reset the failure count and end an ejection."""
         self.consecutive_failures = 0
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -19,6 +19,7 @@
 from zinniadyke.platform._target_api import ManifestAnswer
 from zinniadyke.platform._target_api import ModelServerClient
 from zinniadyke.platform._target_api import OriginClient
+from zinniadyke.platform._target_limit import parse_limit
 from zinniadyke.platform._template import render_template
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
@@ -42,6 +43,7 @@
     "follow_configuration",
     "follow_targets",
     "follow_versions",
+    "parse_limit",
     "parse_retry_after",
     "render_template",
     "shared_prompt_parts",
--- a/zinniadyke/platform/_retry_after.py
+++ b/zinniadyke/platform/_retry_after.py
@@ -1,13 +1,13 @@
 """Reads how long a server asks not to be called."""
 
 import logging
-import re
+
+from zinniadyke import decimal_text
 
 LOG = logging.getLogger(__name__)
 
 # Longer requests are cut to this, as a server that names days is faulty.
 MAX_RETRY_AFTER_S = 300.0
-SECONDS = re.compile(r"\d{1,12}(\.\d*)?|\.\d+", re.ASCII)
 
 
 def parse_retry_after(text: str, server: str) -> float | None:
@@ -23,13 +23,13 @@
     text = text.strip()
     if not text:
         return None
-    if not SECONDS.fullmatch(text):
+    seconds = decimal_text.parse_decimal(text)
+    if seconds is None:
         LOG.warning(
             "Retry-After unreadable, ignored",
             extra={"address": server, "value": text[:40]},
         )
         return None
-    seconds = float(text)
     if seconds > MAX_RETRY_AFTER_S:
         LOG.warning(
             "Retry-After cut to the longest one honoured",
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -15,6 +15,7 @@
 from zinniadyke import ids
 from zinniadyke.platform import _decode_target
 from zinniadyke.platform import _retry_after
+from zinniadyke.platform import _target_limit
 from zinniadyke.platform import headers as header_names
 
 # The model server on the same host answers at once.
@@ -49,6 +50,9 @@
         Unix time of its start in milliseconds; 0 if unknown.
     leaving
         Whether this start of it has said in a report that it is leaving.
+    limit_per_s
+        Requests a second that it takes from all entries together; None if
+        it names no limit.
     """
 
     running: int
@@ -58,6 +62,7 @@
     born_ms: int
     weights: dict[ids.ModelName, ids.WeightsVersion]
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class _Report(msgspec.Struct):
@@ -147,6 +152,10 @@
                 decoded.models, decoded.layers, layer_count
             ),
             leaving=self.leaving_born_ms == decoded.born,
+            limit_per_s=_target_limit.parse_limit(
+                answer.headers.get(header_names.TARGET_LIMIT, ""),
+                self.address,
+            ),
         )
 
     def staged_pieces(self, model: str) -> set[int]:
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -25,6 +25,9 @@
 LEAVING = "server-leaving"
 # In a 503: seconds for which the target wants no request from this host.
 RETRY_AFTER = "retry-after"
+# Requests a second that the target takes from all entries together, for as
+# long as its answers say so.
+TARGET_LIMIT = "server-limit"
 # Numbers of running requests, waiting requests and slots.
 TARGET_LOAD = "x-zinniadyke-server-load"
 # Version of the weights that generated the answer.
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -57,6 +57,9 @@
         Number of the subscribed entries in the target's region.
     sent_ms
         Uptime of the agent's host when it sent the report; 0 if unknown.
+    limit_per_s
+        Requests a second that the target takes from all entries together;
+        None if it names no limit.
     """
 
     address: str
@@ -71,6 +74,7 @@
     leaving: bool = False
     local_entries: int = 0
     sent_ms: int = 0
+    limit_per_s: float | None = None
 
 
 class PieceQuery(
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -155,6 +155,7 @@
                 leaving=report.leaving,
                 local_entries=len(self.local_subscribers),
                 sent_ms=int(uptime.now_s() * MS_PER_S),
+                limit_per_s=report.limit_per_s,
             )
         )
 
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -32,6 +32,8 @@
     TARGET_RESTS = "target_rests"
     # Times that a target asked this host to stay away (Retry-After).
     TARGETS_CLOSED = "targets_closed"
+    # Limits that became known or ended, of targets that name one.
+    TARGET_LIMITS = "target_limits"
     # Targets that said in an answer that they are leaving.
     TARGETS_LEAVING = "targets_leaving"
     # Answers of targets that were broken off, as they exceeded a limit.
