All entries together keep the limit that a target names

Cause: nothing read the limit, so targets in need were placed on by load and region like all others.

Change: agents lend tokens, one schedule for each start of a target, to the entries that ask as a request wants to go there; without an answer for 0.3 s an entry uses an equal share that expires. Repeats and resumed streams need tokens too, requests that no limit lets through in time are refused at once, and a target that is listed again is still limited.

--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -1,8 +1,11 @@
 """Targets that limit the requests of all entries together."""
 
+import time
+
 import eventlet
 import pytest
 
+from tests.gateway import deployment as deploy
 from tests.gateway import fleet as fleets
 
 NETWORK = "127.9.2"
@@ -27,7 +30,7 @@
 
 @pytest.fixture
 def fleet():
-    made = fleets.Fleet(network=NETWORK, entries=ENTRIES, models=2, desks=2)
+    made = fleets.Fleet(network=NETWORK, entries=ENTRIES, models=3, desks=3)
     try:
         assert made.wait_ready()
         yield made
@@ -37,7 +40,7 @@
 
 @pytest.mark.parametrize("path", ["/s/x", "/files/x"])
 def test_limit_of_a_target_holds_for_all_entries_together(fleet, path):
-    limited, other = fleet.models if path == "/s/x" else fleet.desks
+    limited, *others = fleet.models if path == "/s/x" else fleet.desks
     limited.limit_per_s = LIMIT_PER_S
     answers = []
 
@@ -57,6 +60,77 @@
     settled = [at for at in times if at >= times[0] + SETTLING_S]
     assert settled
     assert most_in_window(settled) <= ALLOWED
-    # The other target has room for all that the limited one does not take.
-    assert len(other.arrivals) > len(settled)
+    # The others have room for all that the limited one does not take.
+    assert all(len(t.arrivals) > len(times) for t in others)
     assert {status for status, _, _ in answers} == {200}
+
+
+def answer(exchange):
+    exchange.answer(200, b"done")
+
+
+def limit(per_s):
+    def script(exchange):
+        exchange.answer(200, b"done", Server_Limit=per_s)
+
+    return script
+
+
+def test_requests_beyond_all_limits_are_refused_at_once():
+    with deploy.deployment(limit("0.2"), limit("0.2")) as system:
+        answers = []
+        for number in range(12):
+            started = time.monotonic()
+            status, headers, _, _ = system.ask(
+                "/again/x", X_Zinniadyke_Request_Id=f"q{number}"
+            )
+            answers.append((status, time.monotonic() - started))
+            if status != 200:
+                assert float(headers["Retry-After"]) > 0
+        refused = [took_s for status, took_s in answers if status != 200]
+        assert {status for status, _ in answers} <= {200, 429, 503}
+        assert len(refused) >= 8
+        # A route's objective is 0.3 s; no request waits longer for a token.
+        assert sum(took_s < 0.3 for took_s in refused) >= len(refused) - 2
+        assert sum(len(t.seen) for t in system.targets) == 12 - len(refused)
+
+
+def test_target_without_a_limit_any_more_gets_all_requests_again():
+    scripts = [limit("0.1"), answer]
+    with deploy.deployment(lambda e: scripts[0](e)) as system:
+        assert system.ask("/again/x")[0] == 200
+        (state,) = system.gateway.target_table.states.values()
+        assert state.limit_per_s == 0.1
+        scripts.pop(0)
+        state.tokens.record_answer(granted=True, next_in_s=0.0)
+        assert system.ask("/again/x", X_Zinniadyke_Request_Id="q2")[0] == 200
+        assert state.limit_per_s is None
+        statuses = [
+            system.ask("/again/x", X_Zinniadyke_Request_Id=f"p{n}")[0]
+            for n in range(10)
+        ]
+        assert set(statuses) == {200}
+
+
+def test_target_that_is_listed_again_is_still_limited():
+    with deploy.deployment(limit("0.1")) as system:
+        assert system.ask("/open/x")[0] == 200
+        spec = system.targets[0].spec
+        system.store.remove("servers", "t1")
+        assert deploy.wait_until(lambda: not system.gateway.view.targets)
+        system.store.put("servers", "t1", spec)
+        assert deploy.wait_until(lambda: bool(system.gateway.view.targets))
+        (state,) = system.gateway.target_table.states.values()
+        assert state.limit_per_s == 0.1
+
+
+def test_limit_of_another_target_at_the_address_is_not_taken():
+    def misdirect(exchange):
+        exchange.answer(
+            421, b"", Server_Limit="0.1", X_Zinniadyke_Not_Executed="1"
+        )
+
+    with deploy.deployment(misdirect) as system:
+        system.ask("/open/x")
+        (state,) = system.gateway.target_table.states.values()
+        assert state.limit_per_s is None
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -6,9 +6,12 @@
 """
 
 import collections
+from collections.abc import Callable
 import random
 import time
 
+import eventlet
+
 from zinniadyke import errors
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _placement
@@ -50,6 +53,8 @@
     zone_penalty
         Returns the penalty for sending a request to an availability zone,
         as a number of requests in flight.
+    request_token
+        Called with a target that limits requests when one more is wanted.
     """
 
     def __init__(
@@ -58,11 +63,15 @@
         target_table: _target_table.TargetTable,
         service: ids.ServiceName,
         zone_penalty,
+        request_token: Callable[[_target_state.TargetState], None] = (
+            lambda state: None
+        ),
     ) -> None:
         """Start with an empty queue."""
         self.target_table = target_table
         self.service = service
         self.zone_penalty = zone_penalty
+        self.request_token = request_token
         self.queue = requests.FairQueue()
         self.mean_first_event_s = INITIAL_FIRST_EVENT_S
         self.mean_response_s = INITIAL_RESPONSE_S
@@ -73,7 +82,8 @@
 
         A retry neither queues nor needs a free slot: the call has queued
         before its first attempt, and the caller of a resumed stream is
-        already waiting for the next event.
+        already waiting for the next event. It counts towards a limit that
+        the target names.
 
         Raises
         ------
@@ -83,7 +93,7 @@
         state = _placement.choose_target(
             self.target_table.candidates(self.service, call.model, call.tried),
             self.zone_penalty,
-            lambda _: True,
+            self._is_within_limit,
             mean_response_s=self.mean_response_s,
         )
         if state is None:
@@ -110,7 +120,10 @@
                 raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
             max_wait_s = self._max_wait_s(call)
             call.queue_length_at_decision = len(self.queue)
-            call.expected_wait_s = self._expected_wait_s(call.priority)
+            token_wait_s = self._token_wait_s(call)
+            call.expected_wait_s = max(
+                self._expected_wait_s(call.priority), token_wait_s
+            )
             call.max_wait_s = max_wait_s
             if max_wait_s <= 0 or call.expected_wait_s > max_wait_s:
                 raise self._make_refusal(errors.ResultCode.QUEUE_FULL, call)
@@ -119,6 +132,9 @@
                 len(self.queue) + 1,
                 label=self.service,
             )
+            if token_wait_s > 0:
+                # An entry's own share falls due without any message.
+                eventlet.spawn_after(token_wait_s, self.admit_waiting)
             self.queue.wait(
                 call.workspace or ids.WorkspaceName(""),
                 1,
@@ -159,17 +175,33 @@
             while self.queue.grant():
                 pass
             return
-        free = sum(
-            max(0, s.free_slots)
-            for s in self.target_table.available_targets(self.service)
-        )
+        states = self.target_table.available_targets(self.service)
+        free = sum(self._free_places(s) for s in states)
         while len(self.queue) and free > self.queue.pending_grants:
             self.queue.grant()
+        if len(self.queue):
+            for state in states:
+                if not state.within_limit:
+                    self.request_token(state)
+
+    def reconsider_waiting(self) -> None:
+        """Admit waiting requests; refuse those that limits keep too long.
+
+        Each request that wakes without a free slot compares its expected
+        wait with the longest that its objective allows again.
+        """
+        self.admit_waiting()
+        states = self.target_table.available_targets(self.service)
+        if all(s.tokens is not None and s.tokens.next_in_s for s in states):
+            while self.queue.grant():
+                pass
 
     def _reserve_slot(
         self, state: _target_state.TargetState
     ) -> _target_state.TargetState:
         state.in_flight += 1
+        if state.tokens is not None:
+            state.tokens.take()
         return state
 
     def _choose_target(self, call) -> _target_state.TargetState | None:
@@ -185,6 +217,38 @@
         return (
             not self.target_table.has_engine(self.service)
             or state.free_slots > 0
+        ) and self._is_within_limit(state)
+
+    def _is_within_limit(self, state: _target_state.TargetState) -> bool:
+        """Whether a target's limit allows a request; asks for a token if not.
+
+        Load: targets in need, which take fewer requests from all entries
+        together than they have slots for.
+        """
+        if state.within_limit:
+            return True
+        self.request_token(state)
+        return False
+
+    def _free_places(self, state: _target_state.TargetState) -> int:
+        """Return how many waiting requests a target may get now."""
+        free = MAX_QUEUE_LENGTH
+        if self.target_table.has_engine(self.service):
+            free = max(0, state.free_slots)
+        if state.tokens is not None:
+            free = min(free, state.tokens.count)
+        return free
+
+    def _token_wait_s(self, call: _call.Call) -> float:
+        """Return the time until a target's limit allows a request."""
+        return min(
+            (
+                0.0 if s.tokens is None else s.tokens.next_in_s
+                for s in self.target_table.candidates(
+                    self.service, call.model, call.tried
+                )
+            ),
+            default=0.0,
         )
 
     def _max_wait_s(self, call: _call.Call) -> float:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -22,6 +22,7 @@
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
+from zinniadyke.gateway import _token_borrower
 from zinniadyke import ids
 from zinniadyke import requests
 from zinniadyke import settings
@@ -74,6 +75,11 @@
         self.entries_counted_at = float("-inf")
         self.admissions: dict[ids.ServiceName, _admission.Admission] = {}
         self.budgets: dict[ids.ServiceName, requests.RetryBudget] = {}
+        self.token_borrower = _token_borrower.TokenBorrower(
+            target_table=target_table,
+            count_entries=self._entry_count,
+            on_answer=self._reconsider_waiting,
+        )
         view.on_change.append(self.admit_waiting)
 
     def admit_waiting(self) -> None:
@@ -81,6 +87,9 @@
         for admission in self.admissions.values():
             admission.admit_waiting()
 
+    def _reconsider_waiting(self, service: ids.ServiceName) -> None:
+        self._admission(service).reconsider_waiting()
+
     def serve(
         self, call: _call.Call, caller: _caller_connection.CallerConnection
     ) -> None:
@@ -247,8 +256,11 @@
 
     def _can_resume(self, call: _call.Call) -> bool:
         """Whether the budget and the targets allow another attempt."""
-        return self._budget(call.service).balance >= 1 and bool(
-            self.target_table.candidates(call.service, call.model, call.tried)
+        return self._budget(call.service).balance >= 1 and any(
+            state.within_limit
+            for state in self.target_table.candidates(
+                call.service, call.model, call.tried
+            )
         )
 
     def _admission(self, service: ids.ServiceName) -> _admission.Admission:
@@ -257,6 +269,7 @@
                 target_table=self.target_table,
                 service=service,
                 zone_penalty=self.zone_penalty,
+                request_token=self.token_borrower.request_token,
             )
         return self.admissions[service]
 
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -116,7 +116,10 @@
             on_report=self.forwarder.admit_waiting,
         )
         self.prompt_guard.send = self.load_listener.send
+        borrower = self.forwarder.token_borrower
+        borrower.send = self.load_listener.send
         self.load_listener.handlers = {
+            reports.TokenAnswer: borrower.handle_answer,
             reports.CrashReport: self.prompt_guard.handle_crash,
             reports.PromptNews: self.prompt_guard.handle_news,
         }
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -6,6 +6,7 @@
 
 from zinniadyke import directory
 from zinniadyke.gateway import _report_delay
+from zinniadyke.gateway import _token_holder
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -62,10 +63,14 @@
     limit_per_s
         Requests a second that the target takes from all entries together;
         None if it names no limit.
+    tokens
+        Tokens for requests under that limit; None if it names no limit.
     limit_named_at
         Monotonic time at which it was last named.
     agent_names_limit
         Whether the agent's last report named a limit.
+    unlisted_at
+        Monotonic time at which its registration was last missing.
     closed_until
         Monotonic time until which the target wants no request from this
         host.
@@ -95,8 +100,10 @@
         self.replaced_until = float("-inf")
         self.closed_until = float("-inf")
         self.limit_per_s: float | None = None
+        self.tokens: _token_holder.TokenHolder | None = None
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
+        self.unlisted_at = float("-inf")
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
@@ -138,6 +145,12 @@
         if limit_per_s == self.limit_per_s:
             return
         self.limit_per_s = limit_per_s
+        if limit_per_s is None:
+            self.tokens = None
+        elif self.tokens is None:
+            self.tokens = _token_holder.TokenHolder(limit_per_s=limit_per_s)
+        else:
+            self.tokens.limit_per_s = limit_per_s
         LOG.info(
             "target limits requests",
             extra={
@@ -181,6 +194,13 @@
         """Send nothing to the target for a time that it asked for."""
         self.closed_until = max(self.closed_until, time.monotonic() + seconds)
 
+    def copy_wishes(self, other: "TargetState") -> None:
+        """Take over which requests the target wants, from an earlier state."""
+        self.closed_until = other.closed_until
+        self.limit_per_s = other.limit_per_s
+        self.limit_named_at = other.limit_named_at
+        self.tokens = other.tokens
+
     @property
     def silent(self) -> bool:
         """Whether the target's agent has stopped reporting."""
@@ -219,6 +239,11 @@
             return self.request_capacity // self.entries - self.in_flight
         return self.slot_share + self.in_flight_at_report - self.in_flight
 
+    @property
+    def within_limit(self) -> bool:
+        """Whether the target's limit allows one more request now."""
+        return self.tokens is None or self.tokens.count > 0
+
     @property
     def load(self) -> int:
         """Estimated number of requests at the target, from all entries."""
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -18,6 +18,8 @@
 # A request that has not started on older weights this long before the bound
 # is withdrawn and sent elsewhere.
 START_MARGIN_S = 0.2
+# The limit of a target that is no longer listed is kept for this time.
+UNLISTED_LIMIT_S = 60.0
 
 
 class TargetTable:
@@ -59,9 +61,11 @@
         self.indexed_targets: dict | None = None
         self.indexed_services: dict | None = None
         self.states: dict[ids.TargetId, _target_state.TargetState] = {}
-        # Until when a start of a target that is no longer listed wants no
-        # request; it may be listed again meanwhile.
-        self.closed_unlisted: dict[tuple[ids.TargetId, int], float] = {}
+        # Starts of targets that are no longer listed and want no requests or
+        # few, by identity and start; they may be listed again.
+        self.unlisted: dict[
+            tuple[ids.TargetId, int], _target_state.TargetState
+        ] = {}
         view.on_change.append(self.refresh)
         self.refresh()
 
@@ -77,7 +81,7 @@
             return
         self.indexed_targets, self.indexed_services = targets, services
         for name in self.states.keys() - targets.keys():
-            self._remember_closed(self.states.pop(name))
+            self._remember_unlisted(self.states.pop(name))
         latest_start_ms = _latest_starts_ms(targets.values())
         for name, target in targets.items():
             state = self.states.get(name)
@@ -85,9 +89,9 @@
                 state.target.incarnation != target.incarnation
             ):
                 state = _target_state.TargetState(target=target)
-                state.closed_until = self.closed_unlisted.pop(
-                    target.incarnation, float("-inf")
-                )
+                known = self.unlisted.pop(target.incarnation, None)
+                if known is not None:
+                    state.copy_wishes(known)
                 self.states[name] = state
             else:
                 state.target = target
@@ -124,15 +128,28 @@
             for state in states
         }
 
-    def _remember_closed(self, state: _target_state.TargetState) -> None:
+    def agent_hosts(self) -> set[str]:
+        """Return the hosts of all engines, each of which has an agent."""
+        return {
+            state.target.host_ip
+            for state in self.states.values()
+            if self.has_engine(state.target.service)
+            and not state.target.leaving
+        }
+
+    def _remember_unlisted(self, state: _target_state.TargetState) -> None:
         now = time.monotonic()
-        self.closed_unlisted = {
-            incarnation: until
-            for incarnation, until in self.closed_unlisted.items()
-            if until > now
+        state.unlisted_at = now
+        self.unlisted[state.target.incarnation] = state
+        self.unlisted = {
+            incarnation: s
+            for incarnation, s in self.unlisted.items()
+            if s.closed
+            or (
+                s.limit_per_s is not None
+                and now < s.unlisted_at + UNLISTED_LIMIT_S
+            )
         }
-        if state.closed:
-            self.closed_unlisted[state.target.incarnation] = state.closed_until
 
     def is_current(self, state: _target_state.TargetState) -> bool:
         """Whether the target is still registered and not draining."""
--- /dev/null
+++ b/zinniadyke/gateway/_token_borrower.py
@@ -0,0 +1,96 @@
+"""Borrows tokens for targets that limit the requests of all entries."""
+
+from collections.abc import Callable
+import time
+
+from zinniadyke.gateway import _target_state
+from zinniadyke.gateway import _target_table
+from zinniadyke import ids
+from zinniadyke import rendezvous
+from zinniadyke import reports
+
+MS_PER_S = 1000.0
+
+
+class TokenBorrower:
+    """Asks agents for tokens when a request waits for one.
+
+    Parameters
+    ----------
+    count_entries
+        Returns how many entries there are.
+    on_answer
+        Called after an agent's answer with the service of the target.
+
+    Attributes
+    ----------
+    send
+        Sends a message to the agent on a host.
+    """
+
+    def __init__(
+        self,
+        *,
+        target_table: _target_table.TargetTable,
+        count_entries: Callable[[], int],
+        on_answer: Callable[[ids.ServiceName], None],
+    ) -> None:
+        """Start without tokens."""
+        self.target_table = target_table
+        self.count_entries = count_entries
+        self.on_answer = on_answer
+        self.send: Callable[[reports.Message, str], None] = (
+            lambda message, host_ip: None
+        )
+
+    def request_token(self, state: _target_state.TargetState) -> None:
+        """Ask for a token, unless one is on its way."""
+        tokens = state.tokens
+        if time.monotonic() < tokens.ask_again_at:
+            return
+        tokens.record_asked()
+        lender = self._lender(state)
+        if lender is not None:
+            self.send(
+                reports.TokenRequest(
+                    address=state.target.address,
+                    born_ms=state.target.born_ms,
+                    limit_per_s=tokens.limit_per_s,
+                ),
+                lender,
+            )
+        if lender is None or tokens.has_no_agent:
+            tokens.use_share(self._sharers(state))
+
+    def handle_answer(self, answer: reports.TokenAnswer, host_ip: str) -> None:
+        """Take the token that an agent lends, or learn when it will."""
+        for state in self.target_table.by_address.get(answer.address, ()):
+            if state.tokens is not None and (
+                state.target.born_ms == answer.born_ms
+            ):
+                state.tokens.record_answer(
+                    answer.granted, answer.next_in_ms / MS_PER_S
+                )
+                self.on_answer(state.target.service)
+
+    def _lender(self, state: _target_state.TargetState) -> str | None:
+        """Return the host of the agent that lends a target's tokens.
+
+        It is the target's own agent. For targets without one it is the first
+        agent of all in an order that all entries know; None without agents.
+        """
+        if self.target_table.has_engine(state.target.service):
+            return state.target.host_ip
+        return min(
+            self.target_table.agent_hosts(),
+            key=lambda host_ip: rendezvous.weight(
+                state.target.address, host_ip
+            ),
+            default=None,
+        )
+
+    def _sharers(self, state: _target_state.TargetState) -> int:
+        """Return how many entries send requests to a target."""
+        if state.agent_reported_at is None:
+            return self.count_entries()
+        return state.entries
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -14,6 +14,8 @@
 from zinniadyke.reports._messages import PieceReport
 from zinniadyke.reports._messages import PromptNews
 from zinniadyke.reports._messages import Subscribe
+from zinniadyke.reports._messages import TokenAnswer
+from zinniadyke.reports._messages import TokenRequest
 from zinniadyke.reports._split import split_requests
 
 __all__ = [
@@ -26,6 +28,8 @@
     "PieceReport",
     "PromptNews",
     "Subscribe",
+    "TokenAnswer",
+    "TokenRequest",
     "decode",
     "decode_indexes",
     "encode",
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -161,6 +161,44 @@
     cleared: list[str]
 
 
+class TokenRequest(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=8
+):
+    """An entry's request to send one more request to a target.
+
+    Attributes
+    ----------
+    born_ms
+        Unix time in ms of the target's start, as registered; 0 if unknown.
+    limit_per_s
+        Requests a second that the target takes from all entries together.
+    """
+
+    address: str
+    born_ms: int
+    limit_per_s: float
+
+
+class TokenAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=9
+):
+    """An agent's answer to a ``TokenRequest``.
+
+    Attributes
+    ----------
+    granted
+        Whether the entry may send one more request to the target.
+    next_in_ms
+        Time until this entry gets a token without asking again, in ms; 0
+        with a granted one.
+    """
+
+    address: str
+    born_ms: int
+    granted: bool
+    next_in_ms: int
+
+
 Message = (
     Subscribe
     | LoadReport
@@ -169,6 +207,8 @@
     | Interruption
     | CrashReport
     | PromptNews
+    | TokenRequest
+    | TokenAnswer
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -10,6 +10,8 @@
 from zinniadyke.requests._fair_queue import FairQueue
 from zinniadyke.requests._histograms import Histograms
 from zinniadyke.requests._retry_budget import RetryBudget
+from zinniadyke.requests._token_schedule import TOKEN_LIFETIME_S
+from zinniadyke.requests._token_schedule import TokenSchedule
 from zinniadyke.requests._tokens import hash_token
 from zinniadyke.requests._tokens import new_token
 from zinniadyke.requests._tokens import token_matches
@@ -17,6 +19,7 @@
 from zinniadyke.requests._workspace_limiter import WorkspaceLimiter
 
 __all__ = [
+    "TOKEN_LIFETIME_S",
     "WRITING_AFTER_S",
     "Claim",
     "ClaimState",
@@ -26,6 +29,7 @@
     "FairQueue",
     "Histograms",
     "RetryBudget",
+    "TokenSchedule",
     "WorkspaceLimiter",
     "claim_key",
     "hash_token",
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -184,10 +184,19 @@
                 del self.subscribers[sender]
                 self.local_subscribers.discard(sender)
                 continue
-            try:
-                self.sock.sendto(data, sender)
-            except OSError as error:
-                LOG.debug("cannot send datagram", extra={"reason": str(error)})
+            self._send_to(data, sender)
+
+    def send(
+        self, message: reports.Message, receiver: tuple[str, int]
+    ) -> None:
+        """Send a message to one entry or agent."""
+        self._send_to(reports.encode(message), receiver)
+
+    def _send_to(self, data: bytes, receiver: tuple[str, int]) -> None:
+        try:
+            self.sock.sendto(data, receiver)
+        except OSError as error:
+            LOG.debug("cannot send datagram", extra={"reason": str(error)})
 
     def _is_unchanged(self, report: reports.LoadReport) -> bool:
         """Whether only times differ from the last report sent."""
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -10,6 +10,7 @@
 from zinniadyke.sidecar import _host_link
 from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_server
+from zinniadyke.sidecar import _token_lender
 from zinniadyke.sidecar import _weights_updater
 
 
@@ -43,8 +44,10 @@
             read_report=lambda: target.report(layer_count=0),
             broadcast=self.reporter.broadcast,
         )
+        self.token_lender = _token_lender.TokenLender(send=self.reporter.send)
         self.reporter.handlers.update(
             {
+                reports.TokenRequest: self.token_lender.handle_request,
                 reports.Interruption: self.crash_reporter.handle_interruption,
                 reports.CrashReport: self.crash_reporter.handle_news,
                 reports.PromptNews: self.crash_reporter.handle_news,
@@ -70,6 +73,7 @@
                 self.reporter.receive,
                 self.reporter.run,
                 self.crash_reporter.run,
+                self.token_lender.run,
                 self.weights_updater.fetch,
                 self.weights_updater.switch,
                 self.weights_updater.piece_exchange.announce_pieces,
