--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -27,6 +27,8 @@
         Requested model; empty for services without models.
     prompt_parts
         Parts of the prompt that other requests may share.
+    content
+        Digest of method, host, path, workspace and body.
     tried
         Targets that were attempted, in order.
     last_event_id
@@ -56,6 +58,7 @@
     waited_s: float = 0.0
     model: str
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
+    content: ids.RequestContent = ids.RequestContent("")
     last_event_id: str
     tried: list[ids.TargetId] = []
     sent_at: float | None = None
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -10,6 +10,7 @@
 from zinniadyke import ids
 from zinniadyke import platform
 from zinniadyke.platform import headers
+from zinniadyke import requests
 
 MS_PER_S = 1000.0
 MAX_REQUEST_ID_CHARS = 200
@@ -71,6 +72,13 @@
             request.header(headers.PREFIX_HASH),
             request.header(headers.MODEL),
         ),
+        content=requests.digest_content(
+            request.method.encode(),
+            host.lower().encode("latin-1"),
+            request.target,
+            (workspace.name if workspace else "").encode(),
+            request.body,
+        ),
         last_event_id=request.header(headers.LAST_EVENT_ID),
     )
 
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -220,9 +220,11 @@
             "attempt ended",
             extra={
                 "request": attempt.call.id,
+                "content": attempt.call.content,
                 "target": state.target.id,
                 "outcome": attempt.outcome.value,
                 "reason": attempt.reason,
+                "cut_off": attempt.cut_off,
                 "after_ms": _ms_since(attempt.started_at),
                 "target_load": state.load,
                 "target_rests": ejected,
--- a/zinniadyke/ids.py
+++ b/zinniadyke/ids.py
@@ -21,6 +21,8 @@
 CrashId = NewType("CrashId", str)
 # A model and the hash of one part of its prompts.
 PromptPart = NewType("PromptPart", str)
+# Digest of what a request asks for; equal requests have the same.
+RequestContent = NewType("RequestContent", str)
 
 ID_BYTES = 9
 
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -4,6 +4,7 @@
 from zinniadyke.requests._claims import claim_key
 from zinniadyke.requests._claims import ClaimState
 from zinniadyke.requests._claims import ClaimStore
+from zinniadyke.requests._content import digest_content
 from zinniadyke.requests._crash_findings import CrashFindings
 from zinniadyke.requests._crash_ledger import CrashLedger
 from zinniadyke.requests._crash_ledger import WRITING_AFTER_S
@@ -32,6 +33,7 @@
     "TokenSchedule",
     "WorkspaceLimiter",
     "claim_key",
+    "digest_content",
     "hash_token",
     "new_token",
     "token_matches",
