--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -47,6 +47,8 @@
     ----------
     crashes_on
         Returns whether the target crashes when it begins an exchange.
+    resets_left
+        Number of requests whose connections it still resets.
     limit_per_s
         Limit that all its answers name; None for none.
     arrivals
@@ -63,6 +65,7 @@
         self.crashed_at = []
         self.crashes_on = lambda exchange: False
         self.limit_per_s = None
+        self.resets_left = 0
         self.start()
 
     def start(self):
@@ -108,6 +111,9 @@
                 eventlet.sleep(FIRST_EVENT_S)
             if self.crashes_on(exchange):
                 self.crash()
+            elif self.resets_left:
+                self.resets_left -= 1
+                exchange.reset()
             elif self.service == MODELS:
                 self.stream(exchange)
             else:
