A request that crashes targets is refused by all entries, at plain services too

Cause: the ledger of crashes knew prompt parts only. A request without a prompt, or whose shared parts are sound, left nothing in common between its tries, which have ids of their own; and targets without an agent reported no crash at all.

Change: the content of a request (method, host, path, workspace, body) is a suspect like a prompt part. It goes first where it explains as much as a part of its prompt; a part needs crashes under two contents. Two agents chosen by hash gather the crashes of targets without one, which count as ended if they refuse a connection. Refused with 3009, 503, not run. Prompt guards are crash guards now, prompt news suspect news.

--- a/tests/agent/test_crash_log.py
+++ b/tests/agent/test_crash_log.py
@@ -50,7 +50,7 @@
 
 def test_findings_of_an_entry_are_news_once():
     made = Log()
-    findings = peers.PromptFindings(refused={"a": 5.0}, cleared={"b": 0.0})
+    findings = peers.SuspectFindings(refused={"a": 5.0}, cleared={"b": 0.0})
     made.log.record_findings(findings)
     made.log.record_findings(findings)
     assert made.told == 1
@@ -61,14 +61,14 @@
 
 def test_part_that_is_cleared_again_is_news_again():
     made = Log()
-    made.log.record_findings(peers.PromptFindings(cleared={"b": 1.0}))
-    made.log.record_findings(peers.PromptFindings(cleared={"b": 0.0}))
+    made.log.record_findings(peers.SuspectFindings(cleared={"b": 1.0}))
+    made.log.record_findings(peers.SuspectFindings(cleared={"b": 0.0}))
     assert made.told == 2
 
 
 def test_cleared_part_is_refused_no_more():
     made = Log()
-    made.log.record_findings(peers.PromptFindings(refused={"a": 5.0}))
-    made.log.record_findings(peers.PromptFindings(cleared={"a": 0.0}))
+    made.log.record_findings(peers.SuspectFindings(refused={"a": 5.0}))
+    made.log.record_findings(peers.SuspectFindings(cleared={"a": 0.0}))
     assert made.log.findings().refused == {}
     assert made.told == 2
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from zinniadyke.entry import _crash_guard
 from zinniadyke.entry import _dispatch
-from zinniadyke.entry import _prompt_guard
 from zinniadyke import errors
 from zinniadyke import requests
 
@@ -12,14 +12,14 @@
     monkeypatch,
 ):
     """Its prompt is found to crash engines while it runs."""
-    guard = _prompt_guard.PromptGuard()
+    guard = _crash_guard.CrashGuard()
     link = types.SimpleNamespace(
         host=types.SimpleNamespace(name="h"),
         status=types.SimpleNamespace(incarnation="i"),
     )
     acquired = []
     pool = types.SimpleNamespace(
-        prompt_guard=guard,
+        crash_guard=guard,
         retry_budget=requests.RetryBudget(),
         acquire=lambda call, excluded: acquired.append(call) or (link, "m/1"),
         release=lambda link: None,
--- a/tests/entry/test_target_pool.py
+++ b/tests/entry/test_target_pool.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from zinniadyke.entry import _prompt_guard
+from zinniadyke.entry import _crash_guard
 from zinniadyke.entry import _target_pool
 from zinniadyke import peers
 
@@ -41,7 +41,7 @@
 
 def test_one_free_slot_grants_one_request_in_order():
     pool = _target_pool.TargetPool(
-        node=None, service="s", prompt_guard=_prompt_guard.PromptGuard()
+        node=None, service="s", crash_guard=_crash_guard.CrashGuard()
     )
     link = pool.links["h"] = FakeLink(slots=1)
     served = []
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -24,7 +24,7 @@
         exchange.wait_closed(5.0)
 
     with deploy.deployment(wait, wait) as system:
-        guard = system.gateway.prompt_guard
+        guard = system.gateway.crash_guard
         statuses = []
 
         def ask(number):
@@ -41,7 +41,7 @@
             eventlet.spawn_n(ask, number)
         assert deploy.wait_until(lambda: len(guard.running) == 4)
         guard.handle_news(
-            reports.PromptNews(
+            reports.SuspectNews(
                 name="n",
                 refused={f"{fleets.MODEL}/{CRASHING}": 5000},
                 cleared=[],
--- a/tests/requests/test_crash_ledger.py
+++ b/tests/requests/test_crash_ledger.py
@@ -207,3 +207,117 @@
         ledger.crash(number, "bad", f"x{number}", after_s=25.0)
         ledger.serve("other")
     assert ledger.found == ["bad"]
+
+
+def content(name):
+    return requests.digest_content(name.encode())
+
+
+def crash_with(ledger, name, *suspects_by_request, after_s=1.0):
+    """Record a crash with the suspects of each of its requests."""
+    ledger.manual.now += after_s
+    ledger.record_crash(
+        name,
+        ledger.manual.now,
+        {r: frozenset(suspects) for r, suspects in suspects_by_request},
+    )
+
+
+def test_request_that_crashes_targets_is_refused_not_its_shared_part():
+    ledger = Ledger()
+    deadly = content("deadly")
+    ledger.serve("other")
+    for number in range(3):
+        crash_with(
+            ledger,
+            number,
+            (f"r{number}", {deadly, "rare"}),
+            (f"s{number}", {content(f"sound{number}")}),
+        )
+        ledger.serve("other")
+    assert ledger.found == [deadly]
+    assert ledger.refuses([deadly])
+    assert not ledger.refuses(["rare", content("sound1")])
+
+
+def test_part_that_crashes_targets_in_different_requests_is_refused():
+    """The first request is tried again and again, then another one comes."""
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(3):
+        crash_with(ledger, number, (f"r{number}", {content("first"), "bad"}))
+        ledger.serve("other")
+    crash_with(ledger, 3, ("r3", {content("second"), "bad"}))
+    assert ledger.found == [content("first"), "bad"]
+
+
+def test_request_that_is_repeated_at_once_counts_each_crash():
+    ledger = Ledger()
+    deadly = content("deadly")
+    ledger.serve("other")
+    crash_with(ledger, 0, ("r0", {deadly}))
+    crash_with(ledger, 1, ("r0", {deadly}), after_s=0.03)
+    ledger.serve("other")
+    crash_with(ledger, 2, ("r1", {deadly}))
+    assert ledger.found == [deadly]
+
+
+def test_equal_requests_at_a_rack_that_loses_power_are_not_refused():
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(6):
+        crash_with(
+            ledger, number, (f"r{number}", {content("hot")}), after_s=0.01
+        )
+    ledger.serve("other")
+    assert ledger.found == []
+
+
+def test_one_request_that_meets_crashes_of_others_is_not_refused():
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(4):
+        crash_with(ledger, number, ("r", {content("sound")}))
+        ledger.serve("other")
+    assert ledger.found == []
+
+
+def test_requests_of_which_equal_ones_were_served_need_more_crashes():
+    ledger = Ledger()
+    hot = content("hot")
+    ledger.record_served([hot])
+    for number in range(4):
+        crash_with(ledger, number, (f"r{number}", {hot}))
+        ledger.serve("other")
+    assert ledger.found == []
+    crash_with(ledger, 4, (f"r{number}", {hot}))
+    assert ledger.found == [hot]
+
+
+def test_served_request_is_refused_no_more():
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(3):
+        crash_with(ledger, number, (f"r{number}", {content("deadly")}))
+        ledger.serve("other")
+    assert ledger.refuses([content("deadly")])
+    ledger.manual.now += 1.0
+    ledger.record_served([content("deadly")])
+    assert not ledger.refuses([content("deadly")])
+    assert ledger.cleared == [content("deadly")]
+
+
+def test_contents_of_served_requests_do_not_displace_prompt_parts():
+    ledger = Ledger()
+    ledger.serve("shared")
+    for number in range(10000):
+        ledger.record_served([content(str(number))])
+    assert "shared" in ledger.served_parts
+    assert len(ledger.served_contents) < 10000
+
+
+def test_prompt_part_with_the_prefix_of_contents_is_a_part():
+    """Callers name the model that a part begins with."""
+    ledger = Ledger()
+    ledger.record_served(["content:00/5a"])
+    assert "content:00/5a" in ledger.served_parts
--- a/tests/sidecar/test_crash_reporter.py
+++ b/tests/sidecar/test_crash_reporter.py
@@ -18,9 +18,11 @@
         self.born_ms = born_ms
         self.down = False
         self.sent = []
+        self.ended = set()
         self.reporter = _crash_reporter.CrashReporter(
             address=ADDRESS,
             read_report=self.read_report,
+            refuses_connections=lambda address: address in self.ended,
             broadcast=self.sent.append,
         )
 
@@ -36,10 +38,10 @@
             weights={},
         )
 
-    def interrupt(self, born_ms=5, **requests):
+    def interrupt(self, born_ms=5, address=ADDRESS, **requests):
         self.reporter.handle_interruption(
             reports.Interruption(
-                address=ADDRESS, born_ms=born_ms, requests=requests
+                address=address, born_ms=born_ms, requests=requests
             ),
             ENTRY,
         )
@@ -92,10 +94,10 @@
 
 def test_copies_of_an_entry_s_news_are_passed_on_once():
     agent = Agent()
-    news = reports.PromptNews(name="e1 1", refused={"a": 500}, cleared=["b"])
+    news = reports.SuspectNews(name="e1 1", refused={"a": 500}, cleared=["b"])
     agent.reporter.handle_news(news, ENTRY)
     agent.reporter.handle_news(
-        reports.PromptNews(name="e1 1", refused={"a": 400}, cleared=["b"]),
+        reports.SuspectNews(name="e1 1", refused={"a": 400}, cleared=["b"]),
         ENTRY,
     )
     assert agent.sent == [news]
@@ -105,7 +107,25 @@
     agent = Agent()
     for number in range(2):
         agent.reporter.handle_news(
-            reports.PromptNews(name=f"e1 {number}", refused={}, cleared=["b"]),
+            reports.SuspectNews(
+                name=f"e1 {number}", refused={}, cleared=["b"]
+            ),
             ENTRY,
         )
     assert len(agent.sent) == 2
+
+
+def test_crash_of_a_target_without_an_agent_is_reported():
+    agent = Agent()
+    agent.ended.add("10.0.0.2:80")
+    with agent.running():
+        agent.interrupt(address="10.0.0.2:80", r1=["a"])
+        agent.interrupt(address="10.0.0.3:80", r2=["a"])
+    assert {m.crash for m in agent.sent} == {"10.0.0.2:80 5"}
+
+
+def test_starts_that_are_gathered_at_once_are_bounded():
+    agent = Agent()
+    for number in range(2 * _crash_reporter.MAX_STARTS):
+        agent.interrupt(address=f"10.0.0.2:{number}", r1=["a"])
+    assert len(agent.reporter.interrupted) == _crash_reporter.MAX_STARTS
--- a/zinniadyke/agent/_crash_log.py
+++ b/zinniadyke/agent/_crash_log.py
@@ -85,7 +85,7 @@
             LOG.warning("engine crashed", extra={"requests": sorted(suspects)})
             self.on_news()
 
-    def record_findings(self, findings: peers.PromptFindings) -> None:
+    def record_findings(self, findings: peers.SuspectFindings) -> None:
         """Pass on what an entry has found out, if it is new."""
         now = time.monotonic()
         is_new = False
@@ -118,10 +118,10 @@
             for crash, (at, suspects) in self.crashes.items()
         ]
 
-    def findings(self) -> peers.PromptFindings:
+    def findings(self) -> peers.SuspectFindings:
         """Return what entries have found out."""
         now = time.monotonic()
-        return peers.PromptFindings(
+        return peers.SuspectFindings(
             refused={
                 part: until - now
                 for part, until in self.refused_until.items()
--- a/zinniadyke/entry/_prompt_guard.py
+++ b/zinniadyke/entry/_crash_guard.py
@@ -9,7 +9,7 @@
 from zinniadyke import requests
 
 
-class PromptGuard:
+class CrashGuard:
     """Keeps prompt parts that crash engines away from them.
 
     Attributes
@@ -24,7 +24,7 @@
         self.findings = requests.CrashFindings(
             ledger=self.ledger, tell=self._tell
         )
-        self.tell: Callable[[peers.PromptFindings], None] = lambda findings: (
+        self.tell: Callable[[peers.SuspectFindings], None] = lambda findings: (
             None
         )
 
@@ -54,7 +54,7 @@
     ) -> None:
         left_s = self.ledger.refused_parts()
         self.tell(
-            peers.PromptFindings(
+            peers.SuspectFindings(
                 refused={part: left_s[part] for part in refused},
                 cleared=dict.fromkeys(cleared, 0.0),
             )
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -73,7 +73,7 @@
         RequestError
             The response was cut short.
         """
-        guard = self.pool.prompt_guard
+        guard = self.pool.crash_guard
         call = self.attempt.call
         started_at = time.monotonic()
         recorded = False
@@ -119,7 +119,7 @@
     RequestError
         The final result, as soon as it is known.
     """
-    ledger = pool.prompt_guard.ledger
+    ledger = pool.crash_guard.ledger
     ledger.check(call.prompt_parts)
     pool.retry_budget.deposit()
     excluded: set[ids.HostName] = set()
@@ -212,7 +212,7 @@
 ) -> None:
     if number >= MAX_ATTEMPTS or call.time_left_s() <= 0:
         raise error
-    if pool.prompt_guard.ledger.refuses(call.prompt_parts):
+    if pool.crash_guard.ledger.refuses(call.prompt_parts):
         raise error
     if error.code.ran is errors.Ran.NOT_RUN:
         return
--- a/zinniadyke/entry/_request_server.py
+++ b/zinniadyke/entry/_request_server.py
@@ -4,8 +4,8 @@
 
 from zinniadyke import control
 from zinniadyke.entry import _caller_request
+from zinniadyke.entry import _crash_guard
 from zinniadyke.entry import _dispatch
-from zinniadyke.entry import _prompt_guard
 from zinniadyke.entry import _read_request
 from zinniadyke.entry import _target_pool
 from zinniadyke import errors
@@ -52,8 +52,8 @@
         """Start without pools; ``refresh`` creates them."""
         self.node = node
         self.pools: dict[str, _target_pool.TargetPool] = {}
-        self.prompt_guard = _prompt_guard.PromptGuard()
-        self.prompt_guard.tell = self._tell_agents
+        self.crash_guard = _crash_guard.CrashGuard()
+        self.crash_guard.tell = self._tell_agents
         self.limiters: dict[str, requests.WorkspaceLimiter] = {}
         self.claims = requests.ClaimStore(client=node.client)
 
@@ -69,11 +69,11 @@
                 self.pools[name] = _target_pool.TargetPool(
                     node=self.node,
                     service=name,
-                    prompt_guard=self.prompt_guard,
+                    crash_guard=self.crash_guard,
                 )
             self.pools[name].refresh()
 
-    def _tell_agents(self, findings: peers.PromptFindings) -> None:
+    def _tell_agents(self, findings: peers.SuspectFindings) -> None:
         for pool in self.pools.values():
             pool.tell(findings)
 
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -186,7 +186,7 @@
         self.on_status(status)
         self.on_change()
 
-    def tell(self, findings: peers.PromptFindings) -> None:
+    def tell(self, findings: peers.SuspectFindings) -> None:
         """Tell the agent what this entry has found out about prompts."""
         try:
             self.connection.send_and_receive(
--- a/zinniadyke/entry/_target_pool.py
+++ b/zinniadyke/entry/_target_pool.py
@@ -7,7 +7,7 @@
 
 from zinniadyke import control
 from zinniadyke.entry import _caller_request
-from zinniadyke.entry import _prompt_guard
+from zinniadyke.entry import _crash_guard
 from zinniadyke.entry import _target_link
 from zinniadyke import errors
 from zinniadyke import ids
@@ -26,7 +26,7 @@
     ----------
     service
         The service that the targets belong to.
-    prompt_guard
+    crash_guard
         Keeps prompts that crash engines away from all targets.
     """
 
@@ -35,10 +35,10 @@
         *,
         node: control.Node,
         service: ids.ServiceName,
-        prompt_guard: _prompt_guard.PromptGuard,
+        crash_guard: _crash_guard.CrashGuard,
     ) -> None:
         """Start without targets; ``refresh`` adds them."""
-        self.prompt_guard = prompt_guard
+        self.crash_guard = crash_guard
         self.node = node
         self.service = service
         self.links: dict[ids.HostName, _target_link.TargetLink] = {}
@@ -146,10 +146,10 @@
             host=host,
             connection=self.node.connect(host),
             on_change=self.grant_free_slots,
-            on_status=self.prompt_guard.learn,
+            on_status=self.crash_guard.learn,
         )
 
-    def tell(self, findings: peers.PromptFindings) -> None:
+    def tell(self, findings: peers.SuspectFindings) -> None:
         """Tell all agents what this entry has found out about prompts."""
         for link in self.links.values():
             eventlet.spawn_n(link.tell, findings)
--- a/zinniadyke/errors/_codes.py
+++ b/zinniadyke/errors/_codes.py
@@ -56,6 +56,12 @@
         Ran.NOT_RUN,
         "a part of the prompt crashes targets",
     )
+    CONTENT_REFUSED = (
+        3009,
+        503,
+        Ran.NOT_RUN,
+        "an equal request crashes targets",
+    )
 
     TARGET_FAILED = (4001, 502, Ran.RAN, "the target ran it and failed")
     OUTCOME_UNKNOWN = (4002, 504, Ran.UNKNOWN, "no answer from the target")
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -71,6 +71,11 @@
     load_at_send: int = 0
     load_age_s: float = 0.0
 
+    @property
+    def suspects(self) -> frozenset[ids.Suspect]:
+        """What may be the cause if a target crashes on this request."""
+        return self.prompt_parts | {self.content}
+
     def record_part(self) -> None:
         """Record the time of a relayed part of the response."""
         now = time.monotonic()
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -77,7 +77,8 @@
             host.lower().encode("latin-1"),
             request.target,
             (workspace.name if workspace else "").encode(),
-            request.body,
+            # Without a body, only the header tells prompts apart.
+            request.body or request.header(headers.PREFIX_HASH).encode(),
         ),
         last_event_id=request.header(headers.LAST_EVENT_ID),
     )
--- a/zinniadyke/gateway/_prompt_guard.py
+++ b/zinniadyke/gateway/_crash_guard.py
@@ -1,4 +1,4 @@
-"""Refuses prompts that crash targets, and learns them with other entries."""
+"""Refuses requests that crash targets, learnt together with other entries."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -11,6 +11,7 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _target_table
 from zinniadyke import ids
+from zinniadyke import listening
 from zinniadyke import rendezvous
 from zinniadyke import reports
 from zinniadyke import requests
@@ -19,8 +20,12 @@
 
 # Attempts that one crash cuts off end within a few milliseconds.
 GATHER_S = 0.01
-# Parts of each kind in one datagram.
-MAX_PARTS = 12
+# Refused and cleared suspects in one datagram, of each.
+MAX_SUSPECTS = 12
+# Agents that report the crashes of a target without an agent of its own.
+REPORTERS = 2
+# A crash is checked this long after it cut requests off.
+CHECK_DELAY_S = 0.08
 # Agents in each region that pass on what this entry learned.
 RELAYS_PER_REGION = 2
 # What was learned is sent this often, as datagrams may be lost.
@@ -29,8 +34,8 @@
 MS_PER_S = 1000.0
 
 
-class PromptGuard:
-    """Keeps prompt parts that crash targets away from them.
+class CrashGuard:
+    """Keeps requests and prompts that crash targets away from them.
 
     Parameters
     ----------
@@ -71,7 +76,7 @@
             lambda message, host_ip: None
         )
         self.running: set[_attempt.Attempt] = set()
-        self.interrupted: dict[tuple[str, int], reports.PartsByRequest] = {}
+        self.interrupted: dict[tuple[str, int], reports.SuspectsByRequest] = {}
         self.incarnation = ids.new_incarnation()
         self.news_count = 0
 
@@ -88,59 +93,98 @@
             return
         if attempt.outcome is _call.Outcome.ANSWERED:
             self._record_writing(attempt)
-        elif attempt.cut_off and call.prompt_parts:
+        elif attempt.cut_off:
             target = attempt.state.target
             if not self.interrupted:
                 eventlet.spawn_after(GATHER_S, self._report_interrupted)
             self.interrupted.setdefault((target.address, target.born_ms), {})[
                 call.id
-            ] = sorted(call.prompt_parts)
+            ] = sorted(call.suspects)
 
     def handle_crash(self, report: reports.CrashReport, host_ip: str) -> None:
         """Record a crash that an agent reports.
 
-        One that this region's agents saw is passed on to other regions.
+        One that comes from an agent that saw it, not from one that passes it
+        on, is passed on to other regions.
         """
         self.ledger.record_crash(
             report.crash,
             time.monotonic() - report.age_ms / MS_PER_S,
             {
-                ids.RequestId(request): frozenset(
-                    ids.PromptPart(part) for part in parts
-                )
-                for request, parts in report.requests.items()
+                ids.RequestId(request): frozenset(suspects)
+                for request, suspects in report.requests.items()
             },
         )
-        if host_ip == report.address.rpartition(":")[0]:
+        if host_ip in self._reporters(report.address):
             for region, hosts in self._relays().items():
                 if region != self.region:
                     for relay in hosts:
                         self.send(report, relay)
 
-    def handle_news(self, news: reports.PromptNews, host_ip: str) -> None:
+    def handle_news(self, news: reports.SuspectNews, host_ip: str) -> None:
         """Apply what another entry learned."""
-        for part in news.cleared:
-            self.ledger.clear(ids.PromptPart(part), announce=False)
-        for part, for_ms in news.refused.items():
-            self.ledger.refuse(ids.PromptPart(part), for_ms / MS_PER_S)
-        self._withdraw(ids.PromptPart(part) for part in news.refused)
+        for suspect in news.cleared:
+            self.ledger.clear(suspect, announce=False)
+        for suspect, for_ms in news.refused.items():
+            self.ledger.refuse(suspect, for_ms / MS_PER_S)
+        self._withdraw(news.refused)
 
     def _record_writing(self, attempt: _attempt.Attempt) -> None:
-        self.ledger.record_served(attempt.call.prompt_parts)
+        self.ledger.record_served(attempt.call.suspects)
 
     def _report_interrupted(self) -> None:
         interrupted, self.interrupted = self.interrupted, {}
-        for (address, born_ms), parts_by_request in interrupted.items():
-            for group in reports.split_requests(parts_by_request):
-                self.send(
-                    reports.Interruption(
-                        address=address, born_ms=born_ms, requests=group
-                    ),
-                    address.rpartition(":")[0],
+        for (address, born_ms), requests_there in interrupted.items():
+            reporters = self._reporters(address)
+            if not born_ms:
+                # Reports of two agents could not be told for the same crash.
+                reporters = reporters[:1]
+            for group in reports.split_requests(requests_there):
+                message = reports.Interruption(
+                    address=address, born_ms=born_ms, requests=group
+                )
+                for host_ip in reporters:
+                    self.send(message, host_ip)
+            if not reporters:
+                eventlet.spawn_after(
+                    CHECK_DELAY_S,
+                    self._record_alone,
+                    ids.CrashId(f"{address} {born_ms}"),
+                    address,
+                    time.monotonic(),
+                    {
+                        request: frozenset(suspects)
+                        for request, suspects in requests_there.items()
+                    },
                 )
 
+    def _record_alone(
+        self,
+        crash_id: ids.CrashId,
+        address: str,
+        at: float,
+        requests_there: dict[ids.RequestId, frozenset[ids.Suspect]],
+    ) -> None:
+        """Record a crash in a fleet without agents."""
+        if listening.refuses_connections(address):
+            self.ledger.record_crash(crash_id, at, requests_there)
+
+    def _reporters(self, address: str) -> list[str]:
+        """Return the hosts of the agents that report a target's crashes.
+
+        It is the target's own agent. For targets without one these are the
+        first agents of all in an order that all entries know.
+        """
+        host_ip = address.rpartition(":")[0]
+        agent_hosts = self.target_table.agent_hosts()
+        if host_ip in agent_hosts:
+            return [host_ip]
+        return sorted(
+            agent_hosts, key=lambda host: rendezvous.weight(address, host)
+        )[:REPORTERS]
+
     def _tell(
-        self, refused: set[ids.PromptPart], cleared: set[ids.PromptPart]
+        self, refused: set[ids.Suspect], cleared: set[ids.Suspect]
     ) -> None:
         """Withdraw what is refused, and tell other entries."""
         self._withdraw(refused)
@@ -149,19 +193,21 @@
         for copy in range(NEWS_COPIES):
             if copy:
                 eventlet.sleep(COPY_INTERVAL_S)
-            left_s = self.ledger.refused_parts()
+            left_s = self.ledger.refused()
             still_refused = sorted(refused & left_s.keys())
             still_cleared = sorted(cleared - left_s.keys())
             for first in range(
-                0, max(len(still_refused), len(still_cleared)), MAX_PARTS
+                0, max(len(still_refused), len(still_cleared)), MAX_SUSPECTS
             ):
-                news = reports.PromptNews(
+                news = reports.SuspectNews(
                     name=f"{name} {first}",
                     refused={
-                        part: int(left_s[part] * MS_PER_S)
-                        for part in still_refused[first : first + MAX_PARTS]
+                        suspect: int(left_s[suspect] * MS_PER_S)
+                        for suspect in still_refused[
+                            first : first + MAX_SUSPECTS
+                        ]
                     },
-                    cleared=still_cleared[first : first + MAX_PARTS],
+                    cleared=still_cleared[first : first + MAX_SUSPECTS],
                 )
                 for hosts in self._relays().values():
                     for host_ip in hosts:
@@ -182,9 +228,9 @@
             for region, found in hosts.items()
         }
 
-    def _withdraw(self, parts: Iterable[ids.PromptPart]) -> None:
-        """End the attempts that wait at targets with a refused part."""
-        refused = set(parts)
+    def _withdraw(self, suspects: Iterable[ids.Suspect]) -> None:
+        """End the attempts that wait at targets with a refused suspect."""
+        refused = set(suspects)
         for attempt in list(self.running):
-            if refused & attempt.call.prompt_parts and not attempt.writing:
+            if refused & attempt.call.suspects and not attempt.writing:
                 attempt.withdraw()
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -17,8 +17,8 @@
 from zinniadyke.gateway import _attempt
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_connection
+from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _interest
-from zinniadyke.gateway import _prompt_guard
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -62,14 +62,14 @@
         zone_penalty,
         regions: Mapping[str, str],
         bounds: settings.BoundsSection,
-        prompt_guard: _prompt_guard.PromptGuard,
+        crash_guard: _crash_guard.CrashGuard,
     ) -> None:
         """Admit waiting requests whenever the directory changes."""
         self.bounds = bounds
         self.view = view
         self.target_table = target_table
         self.zone_penalty = zone_penalty
-        self.prompt_guard = prompt_guard
+        self.crash_guard = crash_guard
         self.regions = regions
         self.entry_count = MIN_ENTRIES
         self.entries_counted_at = float("-inf")
@@ -100,7 +100,7 @@
         RequestError
             The final result; nothing was sent to the caller.
         """
-        self.prompt_guard.ledger.check(call.prompt_parts)
+        self.crash_guard.ledger.check(call.suspects)
         admission = self._admission(call.service)
         self._budget(call.service).deposit()
         relay = _response_relay.ResponseRelay(call=call, caller=caller)
@@ -112,7 +112,7 @@
                     state = admission.acquire(call)
                 else:
                     state = admission.acquire_for_retry(call)
-                self._check_prompt(call, admission, state)
+                self._check_suspects(call, admission, state)
             except errors.RequestError:
                 if attempt is None:
                     raise
@@ -124,13 +124,13 @@
                 state, call.model
             )
             attempt.on_leaving = self._record_leaving
-            self.prompt_guard.begin(attempt)
+            self.crash_guard.begin(attempt)
             try:
                 relay.run(attempt, start_deadline - uptime.now_s())
             finally:
                 attempt.close()
                 admission.release(state)
-                self.prompt_guard.end(attempt)
+                self.crash_guard.end(attempt)
             if attempt is first and call.first_part_at is not None:
                 admission.record_first_event_time(
                     call.first_part_at - call.sent_at
@@ -148,15 +148,15 @@
                 relay.give_up(attempt)
                 return
 
-    def _check_prompt(
+    def _check_suspects(
         self,
         call: _call.Call,
         admission: _admission.Admission,
         state: _target_state.TargetState,
     ) -> None:
-        """Give a target's slot back if the prompt is refused by now."""
+        """Give a target's slot back if the request is refused by now."""
         try:
-            self.prompt_guard.ledger.check(call.prompt_parts)
+            self.crash_guard.ledger.check(call.suspects)
         except errors.RequestError:
             admission.release(state)
             raise
@@ -239,7 +239,7 @@
             return False
         if call.remaining_s <= 0:
             return False
-        if self.prompt_guard.ledger.refuses(call.prompt_parts):
+        if self.crash_guard.ledger.refuses(call.suspects):
             return False
         never = call.route.retry_mode is directory.RetryMode.NEVER
         if never and attempt.outcome is not _call.Outcome.NOT_RUN:
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -14,11 +14,11 @@
 from zinniadyke.gateway import _call_builder
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _caller_wait
+from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _forward
 from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _placement
-from zinniadyke.gateway import _prompt_guard
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _target_table
 from zinniadyke import listening
@@ -92,7 +92,7 @@
                 regions=regions,
             ),
         )
-        self.prompt_guard = _prompt_guard.PromptGuard(
+        self.crash_guard = _crash_guard.CrashGuard(
             name=loaded.host.name,
             region=loaded.host.region,
             regions=regions,
@@ -104,7 +104,7 @@
             zone_penalty=_placement.zone_penalties(loaded.host.zone, regions),
             regions=regions,
             bounds=loaded.bounds,
-            prompt_guard=self.prompt_guard,
+            crash_guard=self.crash_guard,
         )
         self.load_listener = _load_listener.LoadListener(
             name=loaded.host.name,
@@ -115,13 +115,13 @@
             target_table=self.target_table,
             on_report=self.forwarder.admit_waiting,
         )
-        self.prompt_guard.send = self.load_listener.send
+        self.crash_guard.send = self.load_listener.send
         borrower = self.forwarder.token_borrower
         borrower.send = self.load_listener.send
         self.load_listener.handlers = {
             reports.TokenAnswer: borrower.handle_answer,
-            reports.CrashReport: self.prompt_guard.handle_crash,
-            reports.PromptNews: self.prompt_guard.handle_news,
+            reports.CrashReport: self.crash_guard.handle_crash,
+            reports.SuspectNews: self.crash_guard.handle_news,
         }
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.callers: set[_caller_connection.CallerConnection] = set()
--- a/zinniadyke/ids.py
+++ b/zinniadyke/ids.py
@@ -23,6 +23,8 @@
 PromptPart = NewType("PromptPart", str)
 # Digest of what a request asks for; equal requests have the same.
 RequestContent = NewType("RequestContent", str)
+# What may crash targets.
+Suspect = PromptPart | RequestContent
 
 ID_BYTES = 9
 
--- a/zinniadyke/listening.py
+++ b/zinniadyke/listening.py
@@ -1,8 +1,12 @@
-"""Listening sockets for HTTP."""
+"""Listening sockets, and whether another process listens."""
 
 import socket
 
 import eventlet
+from eventlet.green import socket as green_socket
+
+# A host that answers does so within a few milliseconds.
+CONNECT_TIMEOUT_S = 0.3
 
 
 def listen(address: str) -> socket.socket:
@@ -26,3 +30,20 @@
     """Return the ``ip:port`` that a socket listens on."""
     host, port = listening.getsockname()
     return f"{host}:{port}"
+
+
+def refuses_connections(address: str) -> bool:
+    """Whether no process listens at ``ip:port`` on a host that answers.
+
+    A host that does not answer, as behind a cut, is not known to refuse.
+    """
+    host, _, port = address.rpartition(":")
+    with green_socket.socket() as sock:
+        sock.settimeout(CONNECT_TIMEOUT_S)
+        try:
+            sock.connect((host, int(port)))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
--- a/zinniadyke/peers/__init__.py
+++ b/zinniadyke/peers/__init__.py
@@ -7,7 +7,7 @@
 from zinniadyke.peers._connection import Call
 from zinniadyke.peers._connection import PeerConnection
 from zinniadyke.peers._crash_messages import EngineCrash
-from zinniadyke.peers._crash_messages import PromptFindings
+from zinniadyke.peers._crash_messages import SuspectFindings
 from zinniadyke.peers._message import Message
 from zinniadyke.peers._request_messages import AttemptClosed
 from zinniadyke.peers._request_messages import Begin
@@ -47,7 +47,7 @@
     "OrderResult",
     "PeerConnection",
     "PeerServer",
-    "PromptFindings",
+    "SuspectFindings",
     "Run",
     "Status",
     "Sync",
--- a/zinniadyke/peers/_crash_messages.py
+++ b/zinniadyke/peers/_crash_messages.py
@@ -23,7 +23,7 @@
     suspects: dict[ids.RequestId, list[ids.PromptPart]]
 
 
-class PromptFindings(
+class SuspectFindings(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True
 ):
     """What entries have found out about prompt parts that crash engines.
--- a/zinniadyke/peers/_status_messages.py
+++ b/zinniadyke/peers/_status_messages.py
@@ -33,7 +33,9 @@
     gate: GateState = GateState.CLOSED
     version: str = ""
     news: int = 0
-    findings: _crash_messages.PromptFindings = _crash_messages.PromptFindings()
+    findings: _crash_messages.SuspectFindings = (
+        _crash_messages.SuspectFindings()
+    )
 
 
 class Status(_message.Message):
@@ -67,7 +69,9 @@
     waiting: int = 0
     news: int = 0
     crashes: list[_crash_messages.EngineCrash] = []
-    findings: _crash_messages.PromptFindings = _crash_messages.PromptFindings()
+    findings: _crash_messages.SuspectFindings = (
+        _crash_messages.SuspectFindings()
+    )
 
 
 class Activate(_message.Message):
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -9,11 +9,11 @@
 from zinniadyke.reports._messages import Interruption
 from zinniadyke.reports._messages import LoadReport
 from zinniadyke.reports._messages import Message
-from zinniadyke.reports._messages import PartsByRequest
 from zinniadyke.reports._messages import PieceQuery
 from zinniadyke.reports._messages import PieceReport
-from zinniadyke.reports._messages import PromptNews
 from zinniadyke.reports._messages import Subscribe
+from zinniadyke.reports._messages import SuspectNews
+from zinniadyke.reports._messages import SuspectsByRequest
 from zinniadyke.reports._messages import TokenAnswer
 from zinniadyke.reports._messages import TokenRequest
 from zinniadyke.reports._split import split_requests
@@ -23,11 +23,11 @@
     "Interruption",
     "LoadReport",
     "Message",
-    "PartsByRequest",
     "PieceQuery",
     "PieceReport",
-    "PromptNews",
     "Subscribe",
+    "SuspectNews",
+    "SuspectsByRequest",
     "TokenAnswer",
     "TokenRequest",
     "decode",
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -102,8 +102,8 @@
     have: bytes
 
 
-# Prompt parts of requests, by request id.
-PartsByRequest = dict[str, list[str]]
+# Content and prompt parts of requests, by request id.
+SuspectsByRequest = dict[ids.RequestId, list[ids.Suspect]]
 
 
 class Interruption(
@@ -119,7 +119,7 @@
 
     address: str
     born_ms: int
-    requests: PartsByRequest
+    requests: SuspectsByRequest
 
 
 class CrashReport(
@@ -138,27 +138,27 @@
     address: str
     crash: ids.CrashId
     age_ms: int
-    requests: PartsByRequest
+    requests: SuspectsByRequest
 
 
-class PromptNews(
+class SuspectNews(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=7
 ):
-    """What an entry has learned about prompt parts that crash targets.
+    """What an entry has learned about requests that crash targets.
 
     Attributes
     ----------
     name
         Identifies the news; its copies have the same name.
     refused
-        Time for which each part is refused, in ms.
+        Time for which each suspect is refused, in ms.
     cleared
-        Parts that were suspected, and with which a request was served.
+        What was suspected, and with which a request was served.
     """
 
     name: str
-    refused: dict[str, int]
-    cleared: list[str]
+    refused: dict[ids.Suspect, int]
+    cleared: list[ids.Suspect]
 
 
 class TokenRequest(
@@ -206,7 +206,7 @@
     | PieceReport
     | Interruption
     | CrashReport
-    | PromptNews
+    | SuspectNews
     | TokenRequest
     | TokenAnswer
 )
--- a/zinniadyke/requests/_crash.py
+++ b/zinniadyke/requests/_crash.py
@@ -15,8 +15,8 @@
     at
         Monotonic time of the crash, in seconds.
     suspects
-        Prompt parts of each of these requests.
+        Content and prompt parts of each of these requests.
     """
 
     at: float
-    suspects: Mapping[ids.RequestId, frozenset[ids.PromptPart]]
+    suspects: Mapping[ids.RequestId, frozenset[ids.Suspect]]
--- a/zinniadyke/requests/_crash_causes.py
+++ b/zinniadyke/requests/_crash_causes.py
@@ -1,9 +1,10 @@
-"""Finds the prompt parts that make targets crash; does no I/O.
+"""Finds the requests and prompt parts that make targets crash; does no I/O.
 
-Load: one part of a prompt crashes each target that begins to answer it, while
-many sound requests wait at the same targets and share its other parts. A
-crash names all of them, so a part counts only until a request with it is
-served, and only for crashes that no part found before explains.
+Load: one request, or one part of a prompt, crashes each target that begins to
+answer it, while many sound requests wait at the same targets and share parts
+of its prompt. A crash names all of them, so a suspect counts only until a
+request with it is served, and only for crashes that no cause found before
+explains.
 """
 
 import collections
@@ -12,54 +13,60 @@
 from collections.abc import Mapping
 
 from zinniadyke import ids
+from zinniadyke.requests import _content
 from zinniadyke.requests import _crash
 
 # Crashes within this time of the previous one count as one: when a rack loses
 # power, all requests there are alike.
 SAME_MOMENT_S = 0.05
-# Crashes after which a part that was never served is refused, if no other has
-# as many.
+# Crashes after which a suspect that was never served is refused, if no other
+# has as many.
 MIN_CRASHES = 3
-# Crashes after which all parts with the most are refused, also those served.
+# Crashes after which all suspects with the most are refused, also those
+# served.
 MIN_CRASHES_OF_EQUALS = 5
 # A single request that is repeated meets several crashes by itself.
-MIN_REQUESTS = 2
+MIN_ORIGINS = 2
 
-Suspects = dict[ids.PromptPart, set[ids.RequestId]]
+# How many crashes of one moment each origin of a suspect met. Origins of a
+# content are requests, and those of a prompt part are contents.
+Origins = collections.Counter[str]
+Suspects = dict[ids.Suspect, Origins]
 
 
 def find_causes(
     crashes: Iterable[_crash.Crash],
-    last_served_at: Mapping[ids.PromptPart, float],
-    known: Collection[ids.PromptPart],
-    ever_served: Collection[ids.PromptPart],
+    last_served_at: Mapping[ids.Suspect, float],
+    known: Collection[ids.Suspect],
+    ever_served: Collection[ids.Suspect],
     *,
     is_serving: bool = True,
-) -> set[ids.PromptPart]:
-    """Return the parts that must be the cause of crashes.
+) -> set[ids.Suspect]:
+    """Return the suspects that must be the cause of crashes.
 
     Parameters
     ----------
     last_served_at
-        Monotonic time at which a request with a part was last served.
+        Monotonic time at which a request with a suspect was last served.
     known
-        Parts that were found to be the cause of earlier crashes; one more
+        Suspects that were found to be the cause of earlier crashes; one more
         crash makes them the cause again.
     ever_served
-        Parts with which a request was served at any time, which makes them
-        a less likely cause.
+        Suspects with which a request was served at any time, which makes
+        them a less likely cause.
     is_serving
         Whether any request was served since the first of the crashes. If
-        not, parts could not be cleared, and more crashes are needed.
+        not, suspects could not be cleared, and more crashes are needed.
     """
     unexplained = [
         s for s in _suspects_by_moment(crashes, last_served_at) if s
     ]
-    causes: set[ids.PromptPart] = set()
+    causes: set[ids.Suspect] = set()
     while True:
-        counts: collections.Counter[ids.PromptPart] = collections.Counter()
+        counts: collections.Counter[ids.Suspect] = collections.Counter()
         for suspects in unexplained:
-            counts.update(suspects.keys())
+            for suspect, origins in suspects.items():
+                counts[suspect] += _count_crashes(suspect, origins)
         found = counts.keys() & set(known)
         if not found:
             found = _most_frequent(
@@ -68,59 +75,95 @@
         if not found:
             return causes
         causes |= found
-        unexplained = [s for s in unexplained if not found & s.keys()]
+        unexplained = [
+            rest for s in unexplained if (rest := _not_explained(s, found))
+        ]
 
 
 def _suspects_by_moment(
     crashes: Iterable[_crash.Crash],
-    last_served_at: Mapping[ids.PromptPart, float],
+    last_served_at: Mapping[ids.Suspect, float],
 ) -> list[Suspects]:
-    """Return the requests of each suspected part for each moment."""
+    """Return the suspects of each moment with their origins."""
     moments: list[Suspects] = []
     last_at = float("-inf")
     for crash in sorted(crashes, key=lambda c: c.at):
         if crash.at - last_at > SAME_MOMENT_S:
             moments.append({})
         last_at = crash.at
-        for request, parts in crash.suspects.items():
-            for part in parts:
-                if last_served_at.get(part, float("-inf")) < crash.at:
-                    moments[-1].setdefault(part, set()).add(request)
+        for request, suspects in crash.suspects.items():
+            content = next(filter(_content.is_content, suspects), None)
+            for suspect in suspects:
+                if last_served_at.get(suspect, float("-inf")) < crash.at:
+                    origin = request if suspect == content else content
+                    moments[-1].setdefault(suspect, collections.Counter())[
+                        origin or request
+                    ] += 1
     return moments
 
 
+def _count_crashes(suspect: ids.Suspect, origins: Origins) -> int:
+    """Return how many crashes of one moment count against a suspect.
+
+    A request that is cut off twice was repeated in between, so these were two
+    events, however close.
+    """
+    return max(origins.values()) if _content.is_content(suspect) else 1
+
+
+def _not_explained(suspects: Suspects, causes: set[ids.Suspect]) -> Suspects:
+    """Return the suspects of a moment that its causes leave.
+
+    A prompt part of a request that crashes targets may be what crashes them.
+    """
+    found = causes & suspects.keys()
+    if not found:
+        return suspects
+    if not all(_content.is_content(cause) for cause in found):
+        return {}
+    return {
+        suspect: origins
+        for suspect, origins in suspects.items()
+        if not _content.is_content(suspect) and found & origins.keys()
+    }
+
+
 def _most_frequent(
-    counts: collections.Counter[ids.PromptPart],
+    counts: collections.Counter[ids.Suspect],
     unexplained: list[Suspects],
-    ever_served: Collection[ids.PromptPart],
+    ever_served: Collection[ids.Suspect],
     *,
     is_serving: bool,
-) -> set[ids.PromptPart]:
-    """Return the parts with the most crashes, if these are enough.
+) -> set[ids.Suspect]:
+    """Return the suspects with the most crashes, if these are enough.
 
-    Parts that were served before the crashes come second and need more.
+    Those that were served before the crashes come second and need more. A
+    request goes before the parts of its prompt, as its refusal keeps fewer
+    requests away.
     """
-    never_served = counts.keys() - set(ever_served)
+    never_served = {s for s in counts if s not in ever_served}
     groups = [
         (never_served, MIN_CRASHES),
         (counts.keys() - never_served, MIN_CRASHES_OF_EQUALS),
     ]
     if not is_serving:
-        # Before anything was served, all parts look alike.
+        # Before anything was served, all suspects look alike.
         groups = [(never_served, MIN_CRASHES_OF_EQUALS)] if ever_served else []
-    for parts, min_crashes in groups:
-        most = max((counts[part] for part in parts), default=0)
-        leading = {part for part in parts if counts[part] == most}
-        if len(leading) > 1:
-            min_crashes = MIN_CRASHES_OF_EQUALS if is_serving else float("inf")
-        if most < min_crashes:
-            continue
+    for suspects, min_crashes in groups:
+        most = max((counts[s] for s in suspects), default=0)
+        leading = {s for s in suspects if counts[s] == most}
         found = {
-            part
-            for part in leading
-            if len(set().union(*(s.get(part, ()) for s in unexplained)))
-            >= MIN_REQUESTS
+            s for s in leading if _count_origins(s, unexplained) >= MIN_ORIGINS
         }
-        if found:
+        contents = set(filter(_content.is_content, found))
+        if contents:
+            leading = found = contents
+        if len(leading) > 1:
+            min_crashes = MIN_CRASHES_OF_EQUALS if is_serving else float("inf")
+        if found and most >= min_crashes:
             return found
     return set()
+
+
+def _count_origins(suspect: ids.Suspect, moments: list[Suspects]) -> int:
+    return len(set().union(*(s.get(suspect, ()) for s in moments)))
--- a/zinniadyke/requests/_crash_findings.py
+++ b/zinniadyke/requests/_crash_findings.py
@@ -1,17 +1,18 @@
-"""Gathers what an entry finds out about prompt parts, to tell others."""
+"""Gathers what an entry finds out about crashes, to tell others."""
 
 from collections.abc import Callable
 
 import eventlet
 
 from zinniadyke import ids
+from zinniadyke.requests import _content
 from zinniadyke.requests import _crash_ledger
 from zinniadyke import telemetry
 
 # What is found within this time is told together.
 GATHER_S = 0.01
 
-Parts = set[ids.PromptPart]
+Suspects = set[ids.Suspect]
 
 
 class CrashFindings:
@@ -20,7 +21,7 @@
     Parameters
     ----------
     tell
-        Called with the parts that are refused from now on, and with those
+        Called with the suspects that are refused from now on, and with those
         that are cleared.
     """
 
@@ -28,31 +29,34 @@
         self,
         *,
         ledger: _crash_ledger.CrashLedger,
-        tell: Callable[[Parts, Parts], None],
+        tell: Callable[[Suspects, Suspects], None],
     ) -> None:
         """Listen to the ledger."""
         self.ledger = ledger
         self.tell = tell
-        self.refused: Parts = set()
-        self.cleared: Parts = set()
+        self.refused: Suspects = set()
+        self.cleared: Suspects = set()
         ledger.on_refused = self._add_refused
         ledger.on_cleared = self._add_cleared
 
-    def _add_refused(self, part: ids.PromptPart) -> None:
-        telemetry.count(telemetry.Metric.PROMPT_PARTS_REFUSED)
-        self._add(self.refused, part)
+    def _add_refused(self, suspect: ids.Suspect) -> None:
+        metric = telemetry.Metric.PROMPT_PARTS_REFUSED
+        if _content.is_content(suspect):
+            metric = telemetry.Metric.CONTENTS_REFUSED
+        telemetry.count(metric)
+        self._add(self.refused, suspect)
 
-    def _add_cleared(self, part: ids.PromptPart) -> None:
-        self._add(self.cleared, part)
+    def _add_cleared(self, suspect: ids.Suspect) -> None:
+        self._add(self.cleared, suspect)
 
-    def _add(self, found: Parts, part: ids.PromptPart) -> None:
+    def _add(self, found: Suspects, suspect: ids.Suspect) -> None:
         if not (self.refused or self.cleared):
             eventlet.spawn_after(GATHER_S, self._tell)
-        found.add(part)
+        found.add(suspect)
 
     def _tell(self) -> None:
         refused, self.refused = self.refused, set()
         cleared, self.cleared = self.cleared, set()
         # What changed meanwhile is not told.
-        present = self.ledger.refused_parts().keys()
+        present = self.ledger.refused().keys()
         self.tell(refused & present, cleared - present)
--- a/zinniadyke/sidecar/_crash_reporter.py
+++ b/zinniadyke/sidecar/_crash_reporter.py
@@ -1,4 +1,4 @@
-"""Tells entries of crashes of the target, and passes on what they learned."""
+"""Tells entries of crashes of targets, and passes on what they learned."""
 
 from collections.abc import Callable
 import logging
@@ -23,28 +23,38 @@
 # A message that was passed on is not passed on again for this time.
 RELAY_MEMORY_S = 5.0
 MAX_RELAYED = 256
+# Starts of targets whose requests are gathered at the same time.
+MAX_STARTS = 64
 MS_PER_S = 1000.0
 
 SocketAddress = tuple[str, int]
+# Address and time of birth of a target.
+Start = tuple[str, int]
 
 
 class CrashReporter:
-    """Reports crashes of the target to the entries that subscribe.
+    """Reports crashes of targets to the entries that subscribe.
 
-    Each entry knows only its own requests at the target. What all of them
-    tell of one crash is gathered here and sent to all.
+    Each entry knows only its own requests at a target. What all of them tell
+    of one crash is gathered here and sent to all: crashes of the target on
+    this host, and of targets without an agent that entries name.
 
     Parameters
     ----------
+    address
+        Address of the target on this host.
     read_report
-        Returns the target's report; raises ``EngineError`` if it is down.
+        Returns that target's report; raises ``EngineError`` if it is down.
+    refuses_connections
+        Returns whether a target at an address has ended.
     broadcast
         Sends a message to all subscribed entries.
 
     Attributes
     ----------
     interrupted
-        Requests that a start of the target cut off, by its time of birth.
+        Requests that a start of a target cut off, by address and time of
+        birth.
     relayed
         Messages that were passed on, with the monotonic time.
     """
@@ -54,14 +64,16 @@
         *,
         address: str,
         read_report: Callable[[], platform.EngineReport],
+        refuses_connections: Callable[[str], bool],
         broadcast: Callable[[reports.Message], None],
     ) -> None:
         """Start without crashes."""
         self.address = address
         self.read_report = read_report
+        self.refuses_connections = refuses_connections
         self.broadcast = broadcast
-        self.interrupted: dict[int, reports.PartsByRequest] = {}
-        self.interrupted_at: dict[int, float] = {}
+        self.interrupted: dict[Start, reports.SuspectsByRequest] = {}
+        self.interrupted_at: dict[Start, float] = {}
         self.reported = 0
         self.changed = directory.Signal()
         self.relayed: dict[object, float] = {}
@@ -71,17 +83,19 @@
         self, message: reports.Interruption, sender: SocketAddress
     ) -> None:
         """Gather the requests that an entry lost."""
-        if message.address != self.address:
+        start = message.address, message.born_ms
+        if start not in self.interrupted and (
+            len(self.interrupted) >= MAX_STARTS
+        ):
+            LOG.warning("crash not gathered", extra={"address": start[0]})
             return
-        self.interrupted_at.setdefault(message.born_ms, time.monotonic())
-        self.interrupted.setdefault(message.born_ms, {}).update(
-            message.requests
-        )
+        self.interrupted_at.setdefault(start, time.monotonic())
+        self.interrupted.setdefault(start, {}).update(message.requests)
         self.changed.send()
 
     def handle_news(
         self,
-        message: reports.PromptNews | reports.CrashReport,
+        message: reports.SuspectNews | reports.CrashReport,
         sender: SocketAddress,
     ) -> None:
         """Pass on what an entry learned, once."""
@@ -104,33 +118,35 @@
             eventlet.sleep(GATHER_S)
             interrupted, self.interrupted = self.interrupted, {}
             interrupted_at, self.interrupted_at = self.interrupted_at, {}
-            present_ms = self._present_start_ms()
-            for born_ms, requests in interrupted.items():
-                if present_ms is not None and present_ms in (0, born_ms):
-                    # It runs on; it only cut off some answers.
-                    continue
-                self._report(interrupted_at[born_ms], born_ms, requests)
-
-    def _present_start_ms(self) -> int | None:
-        """Return when the running target started; None if it is down."""
+            for start, requests in interrupted.items():
+                # One that runs on only cut off some answers.
+                if self._has_ended(start):
+                    self._report(interrupted_at[start], start, requests)
+
+    def _has_ended(self, start: Start) -> bool:
+        """Whether a start of a target runs no more."""
+        address, born_ms = start
+        if address != self.address:
+            return self.refuses_connections(address)
         try:
-            return self.read_report().born_ms
+            return self.read_report().born_ms not in (0, born_ms)
         except errors.EngineError:
-            return None
+            return True
 
     def _report(
-        self, at: float, born_ms: int, requests: reports.PartsByRequest
+        self, at: float, start: Start, requests: reports.SuspectsByRequest
     ) -> None:
+        address, born_ms = start
         LOG.warning(
             "target crashed",
             extra={
-                "address": self.address,
+                "address": address,
                 "born": born_ms,
                 "requests": sorted(requests),
             },
         )
         # Without a time of birth, one crash follows another by number.
-        start = born_ms or f"{self.incarnation}-{self.reported}"
+        name = born_ms or f"{self.incarnation}-{self.reported}"
         self.reported += 1
         for copy in range(REPORT_COPIES):
             if copy:
@@ -138,15 +154,15 @@
             for group in reports.split_requests(requests):
                 self.broadcast(
                     reports.CrashReport(
-                        address=self.address,
-                        crash=f"{self.address} {start}",
+                        address=address,
+                        crash=ids.CrashId(f"{address} {name}"),
                         age_ms=int((time.monotonic() - at) * MS_PER_S),
                         requests=group,
                     )
                 )
 
 
-def _relay_key(message: reports.PromptNews | reports.CrashReport) -> object:
+def _relay_key(message: reports.SuspectNews | reports.CrashReport) -> object:
     """Return what a repeated message has in common with the first."""
     if isinstance(message, reports.CrashReport):
         return message.crash, tuple(sorted(message.requests))
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from zinniadyke import directory
+from zinniadyke import listening
 from zinniadyke import platform
 from zinniadyke import reports
 from zinniadyke import settings
@@ -42,6 +43,7 @@
         self.crash_reporter = _crash_reporter.CrashReporter(
             address=loaded.target.address,
             read_report=lambda: target.report(layer_count=0),
+            refuses_connections=listening.refuses_connections,
             broadcast=self.reporter.broadcast,
         )
         self.token_lender = _token_lender.TokenLender(send=self.reporter.send)
@@ -50,7 +52,7 @@
                 reports.TokenRequest: self.token_lender.handle_request,
                 reports.Interruption: self.crash_reporter.handle_interruption,
                 reports.CrashReport: self.crash_reporter.handle_news,
-                reports.PromptNews: self.crash_reporter.handle_news,
+                reports.SuspectNews: self.crash_reporter.handle_news,
             }
         )
         self.tasks: list[eventlet.greenthread.GreenThread] = []
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -40,6 +40,8 @@
     ANSWERS_OVER_LIMIT = "answers_over_limit"
     # Prompt parts that were found to crash targets.
     PROMPT_PARTS_REFUSED = "prompt_parts_refused"
+    # Requests that were found to crash targets, equal ones once.
+    CONTENTS_REFUSED = "contents_refused"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
