Own interface: requests that crash plain services are refused too

Entries send the content of each request with its attempts; an agent beside a plain service takes one that refuses connections for crashed, as such a service has no state to ask for. The field of Run holds contents and prompt parts now; its place on the wire is the same.

The stand-in of a plain service can crash on a text.

--- a/tests/agent/test_crash_log.py
+++ b/tests/agent/test_crash_log.py
@@ -24,7 +24,7 @@
     def cut_off(self, request, *parts):
         self.log.record_cut_off(
             types.SimpleNamespace(
-                version="m/1", request_id=request, prompt_parts=list(parts)
+                version="m/1", request_id=request, suspects=list(parts)
             )
         )
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -27,7 +27,7 @@
     call = types.SimpleNamespace(
         request_id="r",
         workspace="w",
-        prompt_parts=frozenset(["bad"]),
+        suspects=frozenset(["bad"]),
         idempotent=True,
         time_left_s=lambda: 5.0,
     )
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -1,6 +1,7 @@
 """The agent of one target: admission, orders and weight distribution."""
 
 import logging
+import urllib.parse
 
 import eventlet
 
@@ -16,6 +17,7 @@
 from zinniadyke import engine
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke import listening
 from zinniadyke import objects
 from zinniadyke import peers
 from zinniadyke import platform
@@ -106,13 +108,20 @@
         self.attempt_runner.verify_version = self.engine_watch.verify_version
         self.crash_log = _crash_log.CrashLog(
             incarnation=self.node.incarnation,
-            runs_on=self.engine_watch.serves,
+            runs_on=self._runs_on,
             on_news=self.gate.notify_change,
         )
         self.attempt_runner.crash_log = self.crash_log
         self.engine_watch_task: eventlet.greenthread.GreenThread | None = None
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
+    def _runs_on(self, version: str) -> bool:
+        """Whether the engine serves a version, or a plain service listens."""
+        if version:
+            return self.engine_watch.serves(version)
+        address = urllib.parse.urlsplit(self.client.url).netloc
+        return not listening.refuses_connections(address)
+
     def start(self) -> None:
         """Start to answer peers and to follow the configuration."""
         server = self.node.server
--- a/zinniadyke/agent/_attempt_runner.py
+++ b/zinniadyke/agent/_attempt_runner.py
@@ -77,7 +77,7 @@
         """Record an answer that the engine broke off before it began."""
         if (
             self.crash_log is not None
-            and message.prompt_parts
+            and message.suspects
             and not frames_sent
             and error.code
             in (
--- a/zinniadyke/agent/_crash_log.py
+++ b/zinniadyke/agent/_crash_log.py
@@ -15,10 +15,10 @@
 GATHER_S = 0.05
 # Entries have heard of what is older than this.
 MEMORY_S = 5.0
-# A part that two entries clear at once is one piece of news.
+# A suspect that two entries clear at once is one piece of news.
 SAME_NEWS_S = 0.1
-# Parts that are passed on, the latest ones.
-MAX_PARTS = 256
+# Suspects that are passed on, the latest ones.
+MAX_SUSPECTS = 256
 
 
 class CrashLog:
@@ -38,7 +38,7 @@
     news
         Number that changes with each thing that is new.
     cut_off
-        Prompt parts of the requests that were just cut off before the engine
+        Suspects of the requests that were just cut off before the engine
         began to answer, by version and request.
     """
 
@@ -56,11 +56,11 @@
         self.news = 0
         self.crashes: dict[
             ids.CrashId,
-            tuple[float, dict[ids.RequestId, list[ids.PromptPart]]],
+            tuple[float, dict[ids.RequestId, list[ids.Suspect]]],
         ] = {}
-        self.cut_off: dict[str, dict[ids.RequestId, list[ids.PromptPart]]] = {}
-        self.refused_until: dict[ids.PromptPart, float] = {}
-        self.cleared_at: dict[ids.PromptPart, float] = {}
+        self.cut_off: dict[str, dict[ids.RequestId, list[ids.Suspect]]] = {}
+        self.refused_until: dict[ids.Suspect, float] = {}
+        self.cleared_at: dict[ids.Suspect, float] = {}
 
     def record_cut_off(self, message: peers.Run) -> None:
         """Record that the engine cut off a request before it answered."""
@@ -69,7 +69,7 @@
                 GATHER_S, self._check_engine, time.monotonic()
             )
         self.cut_off.setdefault(message.version, {})[message.request_id] = (
-            message.prompt_parts
+            message.suspects
         )
 
     def _check_engine(self, at: float) -> None:
@@ -89,17 +89,17 @@
         """Pass on what an entry has found out, if it is new."""
         now = time.monotonic()
         is_new = False
-        for part, seconds in findings.refused.items():
-            is_new |= now >= self.refused_until.get(part, now)
-            self.refused_until[part] = now + seconds
-        for part, age_s in findings.cleared.items():
+        for suspect, seconds in findings.refused.items():
+            is_new |= now >= self.refused_until.get(suspect, now)
+            self.refused_until[suspect] = now + seconds
+        for suspect, age_s in findings.cleared.items():
             at = now - age_s
-            if at > self.cleared_at.get(part, float("-inf")) + SAME_NEWS_S:
+            if at > self.cleared_at.get(suspect, float("-inf")) + SAME_NEWS_S:
                 is_new = True
-            self.cleared_at[part] = at
-            self.refused_until.pop(part, None)
+            self.cleared_at[suspect] = at
+            self.refused_until.pop(suspect, None)
         for kept in (self.refused_until, self.cleared_at):
-            while len(kept) > MAX_PARTS:
+            while len(kept) > MAX_SUSPECTS:
                 del kept[next(iter(kept))]
         if is_new:
             self.news += 1
@@ -123,13 +123,13 @@
         now = time.monotonic()
         return peers.SuspectFindings(
             refused={
-                part: until - now
-                for part, until in self.refused_until.items()
+                suspect: until - now
+                for suspect, until in self.refused_until.items()
                 if until > now
             },
             cleared={
-                part: now - at
-                for part, at in self.cleared_at.items()
+                suspect: now - at
+                for suspect, at in self.cleared_at.items()
                 if now - at < MEMORY_S
             },
         )
--- a/zinniadyke/entry/_attempt.py
+++ b/zinniadyke/entry/_attempt.py
@@ -64,7 +64,7 @@
             headers=self.call.headers,
             stream=self.call.stream,
             timeout_s=self.call.time_left_s(),
-            prompt_parts=sorted(self.call.prompt_parts),
+            suspects=sorted(self.call.suspects),
         )
         self.peer_call = self._send(message)
         answer, _ = self._receive()
--- a/zinniadyke/entry/_caller_request.py
+++ b/zinniadyke/entry/_caller_request.py
@@ -29,6 +29,8 @@
         Largest number of queued requests of the workspace and priority.
     prompt_parts
         Parts of the prompt that other requests may share.
+    content
+        Digest of method, service, path, workspace and body.
     """
 
     request_id: ids.RequestId
@@ -50,6 +52,12 @@
     deadline_s: float
     max_queued: int
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
+    content: ids.RequestContent = ids.RequestContent("")
+
+    @property
+    def suspects(self) -> frozenset[ids.Suspect]:
+        """What may be the cause if an engine crashes on this request."""
+        return self.prompt_parts | {self.content}
 
     def time_left_s(self) -> float:
         """Return the time left until the deadline, in seconds."""
--- a/zinniadyke/entry/_crash_guard.py
+++ b/zinniadyke/entry/_crash_guard.py
@@ -1,4 +1,4 @@
-"""Refuses prompts that crash engines, and learns them with other entries."""
+"""Refuses requests that crash engines, learnt together with other entries."""
 
 from collections.abc import Callable
 import time
@@ -10,7 +10,7 @@
 
 
 class CrashGuard:
-    """Keeps prompt parts that crash engines away from them.
+    """Keeps requests and prompts that crash engines away from them.
 
     Attributes
     ----------
@@ -30,7 +30,7 @@
 
     def record_served(self, call: _caller_request.CallerRequest) -> None:
         """Record that an engine has answered a request."""
-        self.ledger.record_served(call.prompt_parts)
+        self.ledger.record_served(call.suspects)
 
     def learn(self, status: peers.Status) -> None:
         """Apply what an agent tells of crashes and findings."""
@@ -40,22 +40,22 @@
                 crash.crash,
                 now - crash.age_s,
                 {
-                    request: frozenset(parts)
-                    for request, parts in crash.suspects.items()
+                    request: frozenset(suspects)
+                    for request, suspects in crash.suspects.items()
                 },
             )
-        for part, age_s in status.findings.cleared.items():
-            self.ledger.clear(part, at=now - age_s, announce=False)
-        for part, seconds in status.findings.refused.items():
-            self.ledger.refuse(part, seconds)
+        for suspect, age_s in status.findings.cleared.items():
+            self.ledger.clear(suspect, at=now - age_s, announce=False)
+        for suspect, seconds in status.findings.refused.items():
+            self.ledger.refuse(suspect, seconds)
 
     def _tell(
-        self, refused: set[ids.PromptPart], cleared: set[ids.PromptPart]
+        self, refused: set[ids.Suspect], cleared: set[ids.Suspect]
     ) -> None:
-        left_s = self.ledger.refused_parts()
+        left_s = self.ledger.refused()
         self.tell(
             peers.SuspectFindings(
-                refused={part: left_s[part] for part in refused},
+                refused={suspect: left_s[suspect] for suspect in refused},
                 cleared=dict.fromkeys(cleared, 0.0),
             )
         )
--- a/zinniadyke/entry/_dispatch.py
+++ b/zinniadyke/entry/_dispatch.py
@@ -120,14 +120,14 @@
         The final result, as soon as it is known.
     """
     ledger = pool.crash_guard.ledger
-    ledger.check(call.prompt_parts)
+    ledger.check(call.suspects)
     pool.retry_budget.deposit()
     excluded: set[ids.HostName] = set()
     for number in range(1, MAX_ATTEMPTS + 1):
         link, version = pool.acquire(call, excluded)
-        if ledger.refuses(call.prompt_parts):
+        if ledger.refuses(call.suspects):
             pool.release(link)
-            ledger.check(call.prompt_parts)
+            ledger.check(call.suspects)
         attempt = _attempt.Attempt(
             call=call, number=number, link=link, version=version
         )
@@ -212,7 +212,7 @@
 ) -> None:
     if number >= MAX_ATTEMPTS or call.time_left_s() <= 0:
         raise error
-    if pool.crash_guard.ledger.refuses(call.prompt_parts):
+    if pool.crash_guard.ledger.refuses(call.suspects):
         raise error
     if error.code.ran is errors.Ran.NOT_RUN:
         return
--- a/zinniadyke/entry/_read_request.py
+++ b/zinniadyke/entry/_read_request.py
@@ -12,6 +12,7 @@
 from zinniadyke import ids
 from zinniadyke import objects
 from zinniadyke import rendezvous
+from zinniadyke import requests
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICE_PREFIX = "/services/"
@@ -110,6 +111,13 @@
         deadline_s=time.monotonic() + _timeout_s(environ, matched.declared),
         max_queued=limit.queue,
         prompt_parts=prompt_parts,
+        content=requests.digest_content(
+            method.encode(),
+            matched.service.encode(),
+            target_path.encode(),
+            identity.workspace.encode(),
+            body,
+        ),
     )
 
 
--- a/zinniadyke/entry/_target_link.py
+++ b/zinniadyke/entry/_target_link.py
@@ -187,7 +187,7 @@
         self.on_change()
 
     def tell(self, findings: peers.SuspectFindings) -> None:
-        """Tell the agent what this entry has found out about prompts."""
+        """Tell the agent what this entry has found out about crashes."""
         try:
             self.connection.send_and_receive(
                 peers.GetStatus(findings=findings), HEARTBEAT_TIMEOUT_S
--- a/zinniadyke/entry/_target_pool.py
+++ b/zinniadyke/entry/_target_pool.py
@@ -27,7 +27,7 @@
     service
         The service that the targets belong to.
     crash_guard
-        Keeps prompts that crash engines away from all targets.
+        Keeps requests that crash engines away from all targets.
     """
 
     def __init__(
@@ -150,7 +150,7 @@
         )
 
     def tell(self, findings: peers.SuspectFindings) -> None:
-        """Tell all agents what this entry has found out about prompts."""
+        """Tell all agents what this entry has found out about crashes."""
         for link in self.links.values():
             eventlet.spawn_n(link.tell, findings)
 
--- a/zinniadyke/fakes/_service.py
+++ b/zinniadyke/fakes/_service.py
@@ -1,6 +1,8 @@
 """Fake plain service that counts the runs of each request."""
 
 import collections
+import socket
+from typing import NoReturn
 
 import eventlet
 
@@ -11,7 +13,8 @@
 class FakeService:
     """Echoes every request and counts its runs.
 
-    Of ``faults``, only ``down`` and ``latency_s`` have an effect.
+    Of ``faults``, only ``down``, ``latency_s``, ``crash_on`` and ``crash_s``
+    have an effect.
 
     Parameters
     ----------
@@ -28,6 +31,8 @@
         Number of runs by idempotency key.
     running
         Number of runs in progress.
+    crashes
+        Number of crashes; nothing listens until the service has restarted.
     """
 
     def __init__(
@@ -39,6 +44,8 @@
         self.runs: collections.Counter = collections.Counter()
         self.keys: collections.Counter = collections.Counter()
         self.running = 0
+        self.crashes = 0
+        self.crashed = False
         self.server = _http.HttpServer(application=self, address=address)
         self.url = self.server.url
 
@@ -48,6 +55,8 @@
 
     def __call__(self, environ, start_response):
         """Run one request and count it."""
+        if self.crashed:
+            _close(environ)
         if self.faults.down:
             return _http.answer(start_response, "503 Service Unavailable")
         if environ["PATH_INFO"] == "/v1/state":
@@ -62,10 +71,16 @@
         if key:
             self.keys[key] += 1
         self.running += 1
+        crashes = self.crashes
         try:
             eventlet.sleep(self.latency_s + self.faults.latency_s)
         finally:
             self.running -= 1
+        text = self.faults.crash_on.encode()
+        if text and text in body and not self.crashed:
+            self._crash()
+        if self.crashes != crashes:
+            _close(environ)
         return _http.answer_json(
             start_response,
             {
@@ -74,3 +89,21 @@
                 "body": body.decode("utf-8", "replace"),
             },
         )
+
+    def _crash(self) -> None:
+        self.crashes += 1
+        self.crashed = True
+        self.server.stop()
+        eventlet.spawn_after(self.faults.crash_s, self._restart)
+
+    def _restart(self) -> None:
+        self.server = _http.HttpServer(
+            application=self, address=self.server.address
+        )
+        self.crashed = False
+
+
+def _close(environ: _http.Environ) -> NoReturn:
+    """Close the connection without any answer, as a crash does."""
+    environ["wsgi.input"].get_socket().shutdown(socket.SHUT_RDWR)
+    _http.abort_connection()
--- a/zinniadyke/peers/_crash_messages.py
+++ b/zinniadyke/peers/_crash_messages.py
@@ -15,26 +15,28 @@
     age_s
         Time since the crash, in seconds.
     suspects
-        Prompt parts of the requests that the engine had not begun to answer.
+        Content and prompt parts of the requests that the engine had not begun
+        to answer.
     """
 
     crash: ids.CrashId
     age_s: float
-    suspects: dict[ids.RequestId, list[ids.PromptPart]]
+    suspects: dict[ids.RequestId, list[ids.Suspect]]
 
 
 class SuspectFindings(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True
 ):
-    """What entries have found out about prompt parts that crash engines.
+    """What entries have found out about requests that crash engines.
 
     Attributes
     ----------
     refused
-        Time for which each part is refused, in seconds.
+        Time for which each suspect is refused, in seconds.
     cleared
-        Time since a request with each of these parts was served, in seconds.
+        Time since a request with each of these suspects was served, in
+        seconds.
     """
 
-    refused: dict[ids.PromptPart, float] = {}
-    cleared: dict[ids.PromptPart, float] = {}
+    refused: dict[ids.Suspect, float] = {}
+    cleared: dict[ids.Suspect, float] = {}
--- a/zinniadyke/peers/_request_messages.py
+++ b/zinniadyke/peers/_request_messages.py
@@ -16,8 +16,8 @@
         service.
     timeout_s
         Time left for the answer, in seconds.
-    prompt_parts
-        Parts of the prompt that other requests may share.
+    suspects
+        Content of the request and parts of its prompt.
     """
 
     request_id: ids.RequestId
@@ -30,7 +30,7 @@
     headers: dict[str, str]
     stream: bool
     timeout_s: float
-    prompt_parts: list[ids.PromptPart] = []
+    suspects: list[ids.Suspect] = []
 
 
 class Begin(_message.Message):
--- a/zinniadyke/peers/_status_messages.py
+++ b/zinniadyke/peers/_status_messages.py
@@ -26,7 +26,7 @@
     gate, version, news
         Last state that the sender knows.
     findings
-        What the sender has found out about prompts that crash engines.
+        What the sender has found out about requests that crash engines.
     """
 
     wait_s: float = 0.0
