Own interface: low rates of workspaces hold for all entries together

Where a part is below one request a second, an agent chosen by hash counts the requests of all entries (TakeToken, one round trip); without its answer for 0.3 s an entry keeps its own part, as before.

Equal parts that expire, as targets' tokens do without an agent, were weighed: a workspace with few requests would be refused almost always.

--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests import clock as clocks
+from zinniadyke.agent import _workspace_tokens
 from zinniadyke import errors
 from zinniadyke import objects
 from zinniadyke import requests
@@ -140,3 +141,57 @@
     assert not requests.token_matches("", [stored])
     assert requests.token_workspace(token) == "hafez"
     assert requests.token_workspace("zd.hafez") == ""
+
+
+@pytest.mark.parametrize("rate", [0.5, 5.0, 20.0])
+def test_low_rate_holds_across_many_entries(clock, monkeypatch, rate):
+    """A part of less than one request lets no entry admit one by itself."""
+    entries = 35
+    monkeypatch.setattr(_workspace_tokens, "time", clock)
+    tokens = _workspace_tokens.WorkspaceTokens()
+    limiters = [requests.WorkspaceLimiter() for _ in range(entries)]
+    limit = objects.Limit(rate=rate)
+    admitted = 0
+    for _ in range(40):
+        for limiter in limiters:
+            try:
+                limiter.admit(
+                    limit, entries, lambda r: tokens.take("intake", r)
+                )
+                limiter.release()
+                admitted += 1
+            except errors.RequestError as error:
+                assert 0 < error.retry_after_s <= 1 / rate + 1e-9
+        clock.now += 0.1
+    # Four seconds at the rate, and what one second allows at the start.
+    assert rate * 4 * 0.9 <= admitted <= rate * 5 + 1
+
+
+def test_entry_keeps_its_part_of_a_low_rate_without_an_agent(clock):
+    limiter = requests.WorkspaceLimiter()
+    limit = objects.Limit(rate=1)
+    assert count_admitted(limiter, limit, 4) == 1
+    clock.now += 3.9
+    assert count_admitted(limiter, limit, 4) == 0
+    clock.now += 0.2
+    assert count_admitted(limiter, limit, 4) == 1
+
+
+def test_workspaces_whose_requests_are_counted_are_bounded():
+    tokens = _workspace_tokens.WorkspaceTokens()
+    for number in range(_workspace_tokens.MAX_WORKSPACES + 9):
+        assert tokens.take(f"w{number}", 1.0) == 0
+    assert len(tokens.schedules) == _workspace_tokens.MAX_WORKSPACES
+
+
+def test_low_concurrency_holds_across_many_entries():
+    entries = 35
+    limit = objects.Limit(concurrency=4)
+    admitted = 0
+    for limiter in [requests.WorkspaceLimiter() for _ in range(entries)]:
+        try:
+            limiter.admit(limit, entries)
+            admitted += 1
+        except errors.RequestError:
+            pass
+    assert admitted <= 4
--- a/zinniadyke/agent/_agent.py
+++ b/zinniadyke/agent/_agent.py
@@ -13,6 +13,7 @@
 from zinniadyke.agent import _fence
 from zinniadyke.agent import _order_executor
 from zinniadyke.agent import _stager
+from zinniadyke.agent import _workspace_tokens
 from zinniadyke import control
 from zinniadyke import engine
 from zinniadyke import errors
@@ -112,6 +113,7 @@
             on_news=self.gate.notify_change,
         )
         self.attempt_runner.crash_log = self.crash_log
+        self.workspace_tokens = _workspace_tokens.WorkspaceTokens()
         self.engine_watch_task: eventlet.greenthread.GreenThread | None = None
         self.tasks: list[eventlet.greenthread.GreenThread] = []
 
@@ -129,6 +131,7 @@
         server.register_handler(peers.CloseAttempt, self.attempt_runner.close)
         server.register_handler(peers.GetStatus, self._answer_status)
         server.register_handler(peers.GetChunk, self.chunks.answer)
+        server.register_handler(peers.TakeToken, self.workspace_tokens.answer)
         server.register_handler(peers.Activate, self.order_executor.activate)
         self.node.start()
         self.tasks = [
--- a/zinniadyke/entry/_request_server.py
+++ b/zinniadyke/entry/_request_server.py
@@ -1,6 +1,8 @@
 """Serves validated requests: limits, claims and dispatch."""
 
+import functools
 import hashlib
+import logging
 
 from zinniadyke import control
 from zinniadyke.entry import _caller_request
@@ -9,12 +11,19 @@
 from zinniadyke.entry import _read_request
 from zinniadyke.entry import _target_pool
 from zinniadyke import errors
+from zinniadyke import ids
 from zinniadyke import objects
 from zinniadyke import peers
+from zinniadyke import platform
+from zinniadyke import rendezvous
 from zinniadyke import requests
 
+LOG = logging.getLogger(__name__)
+
 CLAIM_SLACK_S = 10.0
 PLATFORM_RETRY_AFTER_S = 2.0
+# An agent counts at once; without its answer an entry keeps its own part.
+TOKEN_TIMEOUT_S = 0.3
 
 
 class ServedResponse:
@@ -91,7 +100,11 @@
         limiter = self.limiters.setdefault(
             call.workspace, requests.WorkspaceLimiter()
         )
-        limiter.admit(limit, self.node.live_entries())
+        limiter.admit(
+            limit,
+            self.node.live_entries(),
+            functools.partial(self._take_shared_token, call.workspace),
+        )
         try:
             served = self._serve_with_claim(call)
         except BaseException:
@@ -102,6 +115,37 @@
         )
         return served
 
+    def _take_shared_token(
+        self, workspace: ids.WorkspaceName, rate_per_s: float
+    ) -> float | None:
+        """Take a token of a workspace at the agent that counts them.
+
+        All entries choose the same agent: the first one by a hash of names.
+        Returns the time until there is a token, or None without an answer.
+        """
+        agents = [
+            h
+            for h in self.node.hosts(platform.HostRole.TARGET)
+            if h.state is platform.HostState.LIVE
+        ]
+        if not agents:
+            return None
+        chosen = min(
+            agents, key=lambda h: rendezvous.weight(workspace, h.name)
+        )
+        try:
+            answer, _ = self.node.connect(chosen).send_and_receive(
+                peers.TakeToken(workspace=workspace, rate_per_s=rate_per_s),
+                TOKEN_TIMEOUT_S,
+            )
+        except errors.PeerTimeoutError:
+            LOG.info(
+                "limit not counted by an agent",
+                extra={"workspace": workspace, "agent": chosen.name},
+            )
+            return None
+        return answer.wait_s
+
     def _serve_with_claim(
         self, call: _caller_request.CallerRequest
     ) -> ServedResponse:
--- a/zinniadyke/peers/__init__.py
+++ b/zinniadyke/peers/__init__.py
@@ -8,6 +8,8 @@
 from zinniadyke.peers._connection import PeerConnection
 from zinniadyke.peers._crash_messages import EngineCrash
 from zinniadyke.peers._crash_messages import SuspectFindings
+from zinniadyke.peers._limit_messages import TakeToken
+from zinniadyke.peers._limit_messages import TokenTaken
 from zinniadyke.peers._message import Message
 from zinniadyke.peers._request_messages import AttemptClosed
 from zinniadyke.peers._request_messages import Begin
@@ -47,9 +49,11 @@
     "OrderResult",
     "PeerConnection",
     "PeerServer",
-    "SuspectFindings",
     "Run",
     "Status",
+    "SuspectFindings",
     "Sync",
     "SyncReply",
+    "TakeToken",
+    "TokenTaken",
 ]
--- a/zinniadyke/peers/_codec.py
+++ b/zinniadyke/peers/_codec.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from zinniadyke.peers import _chunk_messages
+from zinniadyke.peers import _limit_messages
 from zinniadyke.peers import _request_messages
 from zinniadyke.peers import _status_messages
 from zinniadyke.peers import _sync_messages
@@ -24,6 +25,8 @@
     | _chunk_messages.ChunkMissing
     | _sync_messages.Sync
     | _sync_messages.SyncReply
+    | _limit_messages.TakeToken
+    | _limit_messages.TokenTaken
 )
 
 encode = msgspec.msgpack.Encoder().encode
--- a/zinniadyke/requests/_workspace_limiter.py
+++ b/zinniadyke/requests/_workspace_limiter.py
@@ -1,15 +1,20 @@
 """Rate and concurrency limits of a workspace at one entry.
 
-A limit applies to all entries together, without a remote call for each
-request: every entry enforces the limit divided by the number of entries.
+A limit applies to all entries together. Where each entry's part of a rate is
+at least one request a second, every entry enforces its part, without a remote
+call for each request. A lower part would let each entry admit one request at
+once, so an agent counts the requests of all entries.
 """
 
+from collections.abc import Callable
 import time
 
 from zinniadyke import errors
 from zinniadyke import objects
 
 BURST_S = 1.0
+# Smaller parts of a rate are not enforced by each entry for itself.
+MIN_PART_PER_S = 1.0
 CONCURRENCY_RETRY_AFTER_S = 0.5
 
 
@@ -29,7 +34,12 @@
         self.refilled_at_s = 0.0
         self.in_flight = 0
 
-    def admit(self, limit: objects.Limit, entries: int) -> None:
+    def admit(
+        self,
+        limit: objects.Limit,
+        entries: int,
+        take_shared: Callable[[float], float | None] = lambda rate: None,
+    ) -> None:
         """Admit one request.
 
         Parameters
@@ -38,6 +48,10 @@
             The workspace's limit for all entries together.
         entries
             Number of live entries.
+        take_shared
+            Takes a token under a rate that an agent counts for all entries;
+            returns the time until there is one, 0 if it was taken, and None
+            if no agent answers.
 
         Raises
         ------
@@ -47,7 +61,7 @@
         entries = max(entries, 1)
         self._check_concurrency(limit, entries)
         if limit.rate > 0:
-            self._take_token(limit.rate / entries)
+            self._take_token(limit.rate, entries, take_shared)
         self.in_flight += 1
 
     def release(self) -> None:
@@ -65,7 +79,21 @@
                 retry_after_s=CONCURRENCY_RETRY_AFTER_S,
             )
 
-    def _take_token(self, rate: float) -> None:
+    def _take_token(
+        self,
+        limit_rate: float,
+        entries: int,
+        take_shared: Callable[[float], float | None],
+    ) -> None:
+        rate = limit_rate / entries
+        if rate < MIN_PART_PER_S and entries > 1:
+            wait_s = take_shared(limit_rate)
+            if wait_s == 0:
+                return
+            if wait_s is not None:
+                raise errors.RequestError(
+                    code=errors.ResultCode.RATE_LIMITED, retry_after_s=wait_s
+                )
         now = time.monotonic()
         burst = max(1.0, rate * BURST_S)
         refill = (now - self.refilled_at_s) * rate
