Requests that a limit allows wait for their token, and are not refused before

A request that finds no token asks for one and may wait, but its wait was judged by how fast slots come free, which in a service without engines says nothing; and a repeat that found no token gave up at once.

The wait for a token is now estimated by itself: the time that the agent tells, and one more at the limits for each request ahead. A request waits for whatever comes first, a slot or a token, as long as its objective allows; Retry-After names the time of the token.

--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -134,3 +134,49 @@
         system.ask("/open/x")
         (state,) = system.gateway.target_table.states.values()
         assert state.limit_per_s is None
+
+
+def learn_limits(fleet, limit_per_s):
+    """Let each entry learn the limits of the targets without agents."""
+    for target in fleet.desks:
+        target.limit_per_s = limit_per_s
+    states = [
+        s
+        for g in fleet.gateways
+        for s in g.target_table.states.values()
+        if s.target.service == fleets.DESK
+    ]
+    for number in range(100):
+        fleet.ask(number % ENTRIES, f"first{number}", path="/files/x")
+        if all(s.limit_per_s == limit_per_s for s in states):
+            break
+    else:
+        raise AssertionError("a limit is not known")
+    # Until no entry holds a token.
+    eventlet.sleep(1.5)
+
+
+def test_requests_within_all_limits_are_served(fleet):
+    """Each entry must borrow a token for each request."""
+    learn_limits(fleet, 3.0)
+    statuses = []
+    for number in range(20):
+        statuses.append(
+            fleet.ask(number % ENTRIES, f"q{number}", path="/files/x")[0]
+        )
+        eventlet.sleep(0.25)
+    assert set(statuses) == {200}
+
+
+def test_repeat_waits_a_moment_for_a_token(fleet):
+    """A target cuts requests off, and the others are limited too."""
+    learn_limits(fleet, 3.0)
+    fleet.desks[0].resets_left = 3
+    statuses = []
+    for number in range(20):
+        statuses.append(
+            fleet.ask(number % ENTRIES, f"q{number}", path="/files/x")[0]
+        )
+        eventlet.sleep(0.25)
+    assert not fleet.desks[0].resets_left
+    assert set(statuses) == {200}
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+import math
 import random
 import time
 
@@ -40,6 +41,9 @@
 NO_TARGET_RETRY_S = 2.0
 # Callers that return to targets that have reopened are spread over this time.
 REOPEN_SPREAD_S = 0.5
+# Longest wait of a repeat for a token of a target that limits requests.
+RETRY_TOKEN_WAIT_S = 0.3
+TOKEN_CHECK_S = 0.01
 # Limit per workspace and priority. In practice the estimated wait keeps the
 # queue shorter.
 MAX_QUEUE_LENGTH = 1000
@@ -90,15 +94,23 @@
         RequestError
             No untried target is available.
         """
-        state = _placement.choose_target(
-            self.target_table.candidates(self.service, call.model, call.tried),
-            self.zone_penalty,
-            self._is_within_limit,
-            mean_response_s=self.mean_response_s,
-        )
-        if state is None:
-            raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
-        return self._reserve_slot(state)
+        deadline = time.monotonic() + min(RETRY_TOKEN_WAIT_S, call.remaining_s)
+        while True:
+            candidates = self.target_table.candidates(
+                self.service, call.model, call.tried
+            )
+            state = _placement.choose_target(
+                candidates,
+                self.zone_penalty,
+                self._is_within_limit,
+                mean_response_s=self.mean_response_s,
+            )
+            if state is not None:
+                return self._reserve_slot(state)
+            if not candidates or time.monotonic() >= deadline:
+                raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
+            # All are limited, and an agent's answer is on its way.
+            eventlet.sleep(TOKEN_CHECK_S)
 
     def acquire(self, call: _call.Call) -> _target_state.TargetState:
         """Reserve a slot for the call and return its target.
@@ -121,9 +133,7 @@
             max_wait_s = self._max_wait_s(call)
             call.queue_length_at_decision = len(self.queue)
             token_wait_s = self._token_wait_s(call)
-            call.expected_wait_s = max(
-                self._expected_wait_s(call.priority), token_wait_s
-            )
+            call.expected_wait_s = min(self._slot_wait_s(call), token_wait_s)
             call.max_wait_s = max_wait_s
             if max_wait_s <= 0 or call.expected_wait_s > max_wait_s:
                 raise self._make_refusal(errors.ResultCode.QUEUE_FULL, call)
@@ -132,7 +142,7 @@
                 len(self.queue) + 1,
                 label=self.service,
             )
-            if token_wait_s > 0:
+            if 0 < token_wait_s < max_wait_s:
                 # An entry's own share falls due without any message.
                 eventlet.spawn_after(token_wait_s, self.admit_waiting)
             self.queue.wait(
@@ -213,11 +223,13 @@
         )
 
     def _has_free_slot(self, state: _target_state.TargetState) -> bool:
+        return self._free_slots(state) > 0 and self._is_within_limit(state)
+
+    def _free_slots(self, state: _target_state.TargetState) -> int:
         # A service without engines queues and sheds load itself.
-        return (
-            not self.target_table.has_engine(self.service)
-            or state.free_slots > 0
-        ) and self._is_within_limit(state)
+        if not self.target_table.has_engine(self.service):
+            return MAX_QUEUE_LENGTH
+        return state.free_slots
 
     def _is_within_limit(self, state: _target_state.TargetState) -> bool:
         """Whether a target's limit allows a request; asks for a token if not.
@@ -232,23 +244,44 @@
 
     def _free_places(self, state: _target_state.TargetState) -> int:
         """Return how many waiting requests a target may get now."""
-        free = MAX_QUEUE_LENGTH
-        if self.target_table.has_engine(self.service):
-            free = max(0, state.free_slots)
+        free = max(0, self._free_slots(state))
         if state.tokens is not None:
             free = min(free, state.tokens.count)
         return free
 
+    def _slot_wait_s(self, call: _call.Call) -> float:
+        """Return the estimated wait for a slot; infinite if slots are free.
+
+        Requests that find free slots wait for tokens of targets with limits.
+        """
+        candidates = self.target_table.candidates(
+            self.service, call.model, call.tried
+        )
+        if all(s.tokens is not None for s in candidates) and any(
+            self._free_slots(s) > 0 for s in candidates
+        ):
+            return float("inf")
+        return self._expected_wait_s(call.priority)
+
     def _token_wait_s(self, call: _call.Call) -> float:
-        """Return the time until a target's limit allows a request."""
-        return min(
-            (
-                0.0 if s.tokens is None else s.tokens.next_in_s
-                for s in self.target_table.candidates(
-                    self.service, call.model, call.tried
-                )
-            ),
-            default=0.0,
+        """Return the estimated wait for a token; infinite without limits.
+
+        It is the time until the next one, and for each waiting request at
+        least as urgent one more at the limits.
+        """
+        limited = [
+            s
+            for s in self.target_table.candidates(
+                self.service, call.model, call.tried
+            )
+            if s.tokens is not None and self._free_slots(s) > 0
+        ]
+        if not limited:
+            return float("inf")
+        rate_per_s = sum(s.tokens.limit_per_s for s in limited)
+        return (
+            min(s.tokens.next_in_s for s in limited)
+            + self.queue.count_ahead(call.priority) / rate_per_s
         )
 
     def _max_wait_s(self, call: _call.Call) -> float:
@@ -278,6 +311,9 @@
     ) -> errors.RequestError:
         expected_s = self._expected_wait_s(call.priority)
         wait_s = min(max(expected_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+        if math.isinf(self._slot_wait_s(call)):
+            # Unlike slots, tokens come at a known time.
+            wait_s = max(self._token_wait_s(call), RETRY_AFTER_MIN_S)
         if code is errors.ResultCode.NO_TARGET:
             wait_s = NO_TARGET_RETRY_S
             reopens_in_s = self.target_table.reopens_in_s(self.service)
