--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -98,3 +98,19 @@
     (state,) = full_admission.target_table.states.values()
     full_admission.release(state)
     assert full_admission.acquire(call(objective_s=-1.0)) is state
+
+
+def test_repeats_keep_the_limit_of_a_target(full_admission):
+    """They need no free slot, but a token."""
+    (state,) = full_admission.target_table.states.values()
+    asked = []
+    full_admission.request_token = asked.append
+    full_admission.acquire_for_retry(call())
+    state.record_limit(2.0)
+    with pytest.raises(errors.RequestError) as caught:
+        full_admission.acquire_for_retry(call())
+    assert caught.value.code is errors.ResultCode.NO_TARGET
+    assert asked
+    state.tokens.record_answer(granted=True, next_in_s=0.0)
+    assert full_admission.acquire_for_retry(call()) is state
+    assert not state.within_limit
