A request asks for one token, not for one at each limited target

Found by mutation: the test of repeats passed without their wait for a token, as each request asked every limited target for one and used one, so most expired unused and lay ready for the next. It asks at the target that it would have gone to, or else at the one that has a token first.

--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 import random
 import time
@@ -99,12 +100,7 @@
             candidates = self.target_table.candidates(
                 self.service, call.model, call.tried
             )
-            state = _placement.choose_target(
-                candidates,
-                self.zone_penalty,
-                self._is_within_limit,
-                mean_response_s=self.mean_response_s,
-            )
+            state = self._choose_within_limits(candidates, lambda _: True)
             if state is not None:
                 return self._reserve_slot(state)
             if not candidates or time.monotonic() >= deadline:
@@ -190,9 +186,7 @@
         while len(self.queue) and free > self.queue.pending_grants:
             self.queue.grant()
         if len(self.queue):
-            for state in states:
-                if not state.within_limit:
-                    self.request_token(state)
+            self._request_tokens(states, len(self.queue))
 
     def reconsider_waiting(self) -> None:
         """Admit waiting requests; refuse those that limits keep too long.
@@ -215,15 +209,55 @@
         return state
 
     def _choose_target(self, call) -> _target_state.TargetState | None:
-        return _placement.choose_target(
+        return self._choose_within_limits(
             self.target_table.candidates(self.service, call.model, call.tried),
+            lambda state: self._free_slots(state) > 0,
+        )
+
+    def _choose_within_limits(
+        self,
+        candidates: list[_target_state.TargetState],
+        has_free_slot: Callable[[_target_state.TargetState], bool],
+    ) -> _target_state.TargetState | None:
+        """Return the best target whose limit allows a request now.
+
+        Load: targets in need, which take fewer requests from all entries
+        together than they have slots for. One token is asked for, at the
+        target that this request would have gone to, or else at the one that
+        has one first.
+        """
+        preferred = self._choose(candidates, has_free_slot)
+        if preferred is None or preferred.within_limit:
+            return preferred
+        usable = self._choose(
+            candidates, lambda s: s.within_limit and has_free_slot(s)
+        )
+        if usable is not None:
+            self.request_token(preferred)
+        else:
+            self._request_tokens(filter(has_free_slot, candidates), 1)
+        return usable
+
+    def _choose(
+        self,
+        candidates: list[_target_state.TargetState],
+        has_free_slot: Callable[[_target_state.TargetState], bool],
+    ) -> _target_state.TargetState | None:
+        return _placement.choose_target(
+            candidates,
             self.zone_penalty,
-            self._has_free_slot,
+            has_free_slot,
             mean_response_s=self.mean_response_s,
         )
 
-    def _has_free_slot(self, state: _target_state.TargetState) -> bool:
-        return self._free_slots(state) > 0 and self._is_within_limit(state)
+    def _request_tokens(
+        self, states: Iterable[_target_state.TargetState], count: int
+    ) -> None:
+        """Ask for tokens at the targets that have one first."""
+        limited = [s for s in states if not s.within_limit]
+        limited.sort(key=lambda s: (s.tokens.next_in_s, random.random()))
+        for state in limited[:count]:
+            self.request_token(state)
 
     def _free_slots(self, state: _target_state.TargetState) -> int:
         # A service without engines queues and sheds load itself.
@@ -231,17 +265,6 @@
             return MAX_QUEUE_LENGTH
         return state.free_slots
 
-    def _is_within_limit(self, state: _target_state.TargetState) -> bool:
-        """Whether a target's limit allows a request; asks for a token if not.
-
-        Load: targets in need, which take fewer requests from all entries
-        together than they have slots for.
-        """
-        if state.within_limit:
-            return True
-        self.request_token(state)
-        return False
-
     def _free_places(self, state: _target_state.TargetState) -> int:
         """Return how many waiting requests a target may get now."""
         free = max(0, self._free_slots(state))
