A sound request that is repeated hides no cause of crashes

A sound request that was cut off and repeated at the target that crashed next had as many crashes as the part, and of equals five are needed. A content with a single request does not compete now, and a content goes only before parts of its own prompt, no longer before others'. Both tests failed before.

--- a/tests/requests/test_crash_ledger.py
+++ b/tests/requests/test_crash_ledger.py
@@ -321,3 +321,35 @@
     ledger = Ledger()
     ledger.record_served(["content:00/5a"])
     assert "content:00/5a" in ledger.served_parts
+
+
+def test_sound_request_that_meets_each_crash_does_not_hide_the_cause():
+    """It is repeated at the targets that a prompt part crashes next."""
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(3):
+        crash_with(
+            ledger,
+            number,
+            (f"d{number}", {content(f"deadly{number}"), "bad"}),
+            ("s", {content("sound")}),
+        )
+        ledger.serve("other")
+    assert ledger.found == ["bad"]
+
+
+def test_sound_request_that_comes_again_is_not_taken_for_the_cause():
+    ledger = Ledger()
+    ledger.serve("other")
+    for number in range(3):
+        crash_with(
+            ledger,
+            number,
+            (f"d{number}", {content(f"deadly{number}"), "bad"}),
+            (f"s{number}", {content("sound")}),
+        )
+        ledger.serve("other")
+    assert ledger.found == []
+    crash_with(ledger, 3, ("d3", {content("deadly3"), "bad"}))
+    ledger.serve("other")
+    assert ledger.found == ["bad"]
--- a/zinniadyke/requests/_crash_causes.py
+++ b/zinniadyke/requests/_crash_causes.py
@@ -138,8 +138,8 @@
     """Return the suspects with the most crashes, if these are enough.
 
     Those that were served before the crashes come second and need more. A
-    request goes before the parts of its prompt, as its refusal keeps fewer
-    requests away.
+    content goes before the parts of its own prompt, as its refusal keeps
+    fewer requests away.
     """
     never_served = {s for s in counts if s not in ever_served}
     groups = [
@@ -150,20 +150,23 @@
         # Before anything was served, all suspects look alike.
         groups = [(never_served, MIN_CRASHES_OF_EQUALS)] if ever_served else []
     for suspects, min_crashes in groups:
-        most = max((counts[s] for s in suspects), default=0)
-        leading = {s for s in suspects if counts[s] == most}
-        found = {
-            s for s in leading if _count_origins(s, unexplained) >= MIN_ORIGINS
+        origins = {s: _all_origins(s, unexplained) for s in suspects}
+        # A single request that is repeated meets crashes of others.
+        competing = {
+            s
+            for s in suspects
+            if len(origins[s]) >= MIN_ORIGINS or not _content.is_content(s)
         }
-        contents = set(filter(_content.is_content, found))
-        if contents:
-            leading = found = contents
+        most = max((counts[s] for s in competing), default=0)
+        leading = {s for s in competing if counts[s] == most}
+        leading = {s for s in leading if not origins[s] & leading}
         if len(leading) > 1:
             min_crashes = MIN_CRASHES_OF_EQUALS if is_serving else float("inf")
+        found = {s for s in leading if len(origins[s]) >= MIN_ORIGINS}
         if found and most >= min_crashes:
             return found
     return set()
 
 
-def _count_origins(suspect: ids.Suspect, moments: list[Suspects]) -> int:
-    return len(set().union(*(s.get(suspect, ()) for s in moments)))
+def _all_origins(suspect: ids.Suspect, moments: list[Suspects]) -> set[str]:
+    return set().union(*(s.get(suspect, ()) for s in moments))
