One reader of numbers in headers of targets; plainer names

Reading of Retry-After and Server-Limit had the same lines. No behaviour changes but the text of one log line (header unreadable, ignored).

--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -194,8 +194,8 @@
         """Send nothing to the target for a time that it asked for."""
         self.closed_until = max(self.closed_until, time.monotonic() + seconds)
 
-    def copy_wishes(self, other: "TargetState") -> None:
-        """Take over which requests the target wants, from an earlier state."""
+    def copy_restrictions(self, other: "TargetState") -> None:
+        """Take over an earlier state's limit and the time of its pause."""
         self.closed_until = other.closed_until
         self.limit_per_s = other.limit_per_s
         self.limit_named_at = other.limit_named_at
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -61,8 +61,8 @@
         self.indexed_targets: dict | None = None
         self.indexed_services: dict | None = None
         self.states: dict[ids.TargetId, _target_state.TargetState] = {}
-        # Starts of targets that are no longer listed and want no requests or
-        # few, by identity and start; they may be listed again.
+        # Targets that are no longer listed and are closed or name a limit, by
+        # identity and start; they may be listed again.
         self.unlisted: dict[
             tuple[ids.TargetId, int], _target_state.TargetState
         ] = {}
@@ -91,7 +91,7 @@
                 state = _target_state.TargetState(target=target)
                 known = self.unlisted.pop(target.incarnation, None)
                 if known is not None:
-                    state.copy_wishes(known)
+                    state.copy_restrictions(known)
                 self.states[name] = state
             else:
                 state.target = target
--- a/zinniadyke/platform/_retry_after.py
+++ b/zinniadyke/platform/_retry_after.py
@@ -2,7 +2,8 @@
 
 import logging
 
-from zinniadyke import decimal_text
+from zinniadyke.platform import _number_header
+from zinniadyke.platform import headers
 
 LOG = logging.getLogger(__name__)
 
@@ -20,19 +21,18 @@
     server
         Address of the server, for the log.
     """
-    text = text.strip()
-    if not text:
-        return None
-    seconds = decimal_text.parse_decimal(text)
+    seconds = _number_header.parse_number(
+        text, header=headers.RETRY_AFTER, server=server
+    )
     if seconds is None:
-        LOG.warning(
-            "Retry-After unreadable, ignored",
-            extra={"address": server, "value": text[:40]},
-        )
         return None
     if seconds > MAX_RETRY_AFTER_S:
         LOG.warning(
             "Retry-After cut to the longest one honoured",
-            extra={"address": server, "value": text, "s": MAX_RETRY_AFTER_S},
+            extra={
+                "address": server,
+                "value": text.strip(),
+                "s": MAX_RETRY_AFTER_S,
+            },
         )
     return min(seconds, MAX_RETRY_AFTER_S)
--- a/zinniadyke/platform/_target_limit.py
+++ b/zinniadyke/platform/_target_limit.py
@@ -1,10 +1,7 @@
 """Reads how many requests a second a target takes."""
 
-import logging
-
-from zinniadyke import decimal_text
-
-LOG = logging.getLogger(__name__)
+from zinniadyke.platform import _number_header
+from zinniadyke.platform import headers
 
 # A lower limit counts as this one: a target that nobody calls could not say
 # that its limit has ended.
@@ -21,14 +18,7 @@
     server
         Address of the server, for the log.
     """
-    text = text.strip()
-    if not text:
-        return None
-    limit = decimal_text.parse_decimal(text)
-    if limit is None:
-        LOG.warning(
-            "limit unreadable, ignored",
-            extra={"address": server, "value": text[:40]},
-        )
-        return None
-    return max(limit, MIN_LIMIT_PER_S)
+    limit = _number_header.parse_number(
+        text, header=headers.TARGET_LIMIT, server=server
+    )
+    return None if limit is None else max(limit, MIN_LIMIT_PER_S)
