Agents ignore requests for tokens whose limit is no rate

A datagram with 0, infinity or NaN as the limit made a schedule that the lending task divided by, which would have ended it for all targets. Four rows of the new test failed before. No such message was seen.

--- a/tests/sidecar/test_token_lender.py
+++ b/tests/sidecar/test_token_lender.py
@@ -92,3 +92,13 @@
         if key[0] == "10.0.0.9:80"
     }
     assert waiting <= _token_lender.MAX_WAITING
+
+
+@pytest.mark.parametrize(
+    "limit_per_s", [0.0, -1.0, float("nan"), float("inf")]
+)
+def test_limit_that_is_no_rate_is_ignored(fake_clock, limit_per_s):
+    lender = Lender()
+    with pytest.raises(IndexError):
+        lender.ask(ENTRIES[0], limit_per_s=limit_per_s)
+    assert not lender.lender.limits
--- a/zinniadyke/sidecar/_token_lender.py
+++ b/zinniadyke/sidecar/_token_lender.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 import time
 
 import msgspec
@@ -63,6 +64,12 @@
         self, message: reports.TokenRequest, sender: SocketAddress
     ) -> None:
         """Lend a token, or tell when the next one falls due."""
+        if not 0 < message.limit_per_s < math.inf:
+            LOG.warning(
+                "limit unusable, ignored",
+                extra={"address": message.address, "host": sender[0]},
+            )
+            return
         now = time.monotonic()
         key = message.address, message.born_ms
         limit = self._limit(key, message.limit_per_s, now)
