An address that cannot be checked does not end the reports of crashes

Since agents check targets other than their own, an address in a datagram that is not ip:port ended the task that reports crashes. Each start of a target is judged by itself now, and an error logged. The test failed before. No such message was seen.

--- a/tests/sidecar/test_crash_reporter.py
+++ b/tests/sidecar/test_crash_reporter.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from zinniadyke import errors
+from zinniadyke import listening
 from zinniadyke import platform
 from zinniadyke import reports
 from zinniadyke.sidecar import _crash_reporter
@@ -129,3 +130,14 @@
     for number in range(2 * _crash_reporter.MAX_STARTS):
         agent.interrupt(address=f"10.0.0.2:{number}", r1=["a"])
     assert len(agent.reporter.interrupted) == _crash_reporter.MAX_STARTS
+
+
+def test_address_that_cannot_be_checked_does_not_end_the_reports():
+    agent = Agent()
+    agent.reporter.refuses_connections = listening.refuses_connections
+    agent.down = True
+    with agent.running():
+        agent.interrupt(address="nonsense", r1=["a"])
+        eventlet.sleep(0.3)
+        agent.interrupt(r2=["a"])
+    assert {m.crash for m in agent.sent} == {f"{ADDRESS} 5"}
--- a/zinniadyke/sidecar/_crash_reporter.py
+++ b/zinniadyke/sidecar/_crash_reporter.py
@@ -119,9 +119,13 @@
             interrupted, self.interrupted = self.interrupted, {}
             interrupted_at, self.interrupted_at = self.interrupted_at, {}
             for start, requests in interrupted.items():
-                # One that runs on only cut off some answers.
-                if self._has_ended(start):
-                    self._report(interrupted_at[start], start, requests)
+                try:
+                    # One that runs on only cut off some answers.
+                    if self._has_ended(start):
+                        self._report(interrupted_at[start], start, requests)
+                except Exception:
+                    # One message must not end the reports of all others.
+                    LOG.exception("crash not reported", extra={"start": start})
 
     def _has_ended(self, start: Start) -> bool:
         """Whether a start of a target runs no more."""
