--- a/tests/gateway/test_target_table.py
+++ b/tests/gateway/test_target_table.py
@@ -2,6 +2,7 @@
 
 from tests import clock
 from zinniadyke import directory
+from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
 
@@ -44,7 +45,10 @@
 
 
 def names(target_table):
-    return {s.target.id for s in target_table.candidates("s", "", [])}
+    return {
+        s.target.id
+        for s in target_table.candidates(_scope.Scope(service="s"), [])
+    }
 
 
 def test_registration_of_an_earlier_start_is_not_used():
--- a/zinniadyke/directory/_configuration.py
+++ b/zinniadyke/directory/_configuration.py
@@ -28,10 +28,19 @@
 
 
 class Workspace(msgspec.Struct, frozen=True, kw_only=True):
-    """A workspace; ``priority`` None means the route's priority."""
+    """A workspace.
+
+    Attributes
+    ----------
+    priority
+        Priority of its requests; None means the route's priority.
+    allowed_regions
+        Regions in which its requests may be served; None means all regions.
+    """
 
     name: ids.WorkspaceName
     priority: int | None
+    allowed_regions: frozenset[ids.RegionName] | None = None
 
 
 class ServingConfiguration(msgspec.Struct, kw_only=True):
--- a/zinniadyke/directory/_route.py
+++ b/zinniadyke/directory/_route.py
@@ -45,6 +45,8 @@
         Priority; 0 is the most urgent.
     public
         Whether requests need no API key.
+    allowed_regions
+        Regions in which requests may be served; None means all regions.
     """
 
     name: str
@@ -59,3 +61,4 @@
     priority: int
     public: bool
     backends: tuple[Backend, ...]
+    allowed_regions: frozenset[ids.RegionName] | None = None
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -97,9 +97,7 @@
         """
         deadline = time.monotonic() + min(RETRY_TOKEN_WAIT_S, call.remaining_s)
         while True:
-            candidates = self.target_table.candidates(
-                self.service, call.model, call.tried
-            )
+            candidates = self.target_table.candidates(call.scope, call.tried)
             state = self._choose_within_limits(candidates, lambda _: True)
             if state is not None:
                 return self._reserve_slot(state)
@@ -122,9 +120,7 @@
                 return self._reserve_slot(state)
         while True:
             # Checked again after each wait: targets may have closed.
-            if not self.target_table.candidates(
-                self.service, call.model, call.tried
-            ):
+            if not self.target_table.candidates(call.scope, call.tried):
                 raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
             max_wait_s = self._max_wait_s(call)
             call.queue_length_at_decision = len(self.queue)
@@ -210,7 +206,7 @@
 
     def _choose_target(self, call) -> _target_state.TargetState | None:
         return self._choose_within_limits(
-            self.target_table.candidates(self.service, call.model, call.tried),
+            self.target_table.candidates(call.scope, call.tried),
             lambda state: self._free_slots(state) > 0,
         )
 
@@ -277,9 +273,7 @@
 
         Requests that find free slots wait for tokens of targets with limits.
         """
-        candidates = self.target_table.candidates(
-            self.service, call.model, call.tried
-        )
+        candidates = self.target_table.candidates(call.scope, call.tried)
         if all(s.tokens is not None for s in candidates) and any(
             self._free_slots(s) > 0 for s in candidates
         ):
@@ -294,9 +288,7 @@
         """
         limited = [
             s
-            for s in self.target_table.candidates(
-                self.service, call.model, call.tried
-            )
+            for s in self.target_table.candidates(call.scope, call.tried)
             if s.tokens is not None and self._free_slots(s) > 0
         ]
         if not limited:
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -7,6 +7,7 @@
 
 from zinniadyke import directory
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _scope
 from zinniadyke import ids
 
 
@@ -27,6 +28,8 @@
         Requested model; empty for services without models.
     prompt_parts
         Parts of the prompt that other requests may share.
+    allowed_regions
+        Regions whose targets may run the request; None means all regions.
     content
         Digest of method, host, path, workspace and body.
     tried
@@ -57,6 +60,7 @@
     objective_at: float
     waited_s: float = 0.0
     model: str
+    allowed_regions: frozenset[ids.RegionName] | None = None
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
     content: ids.RequestContent = ids.RequestContent("")
     last_event_id: str
@@ -76,6 +80,15 @@
         """What may be the cause if a target crashes on this request."""
         return self.prompt_parts | {self.content}
 
+    @property
+    def scope(self) -> _scope.Scope:
+        """Which targets may run the request."""
+        return _scope.Scope(
+            service=self.service,
+            model=self.model,
+            allowed_regions=self.allowed_regions,
+        )
+
     def record_part(self) -> None:
         """Record the time of a relayed part of the response."""
         now = time.monotonic()
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -7,6 +7,7 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_wait
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _scope
 from zinniadyke import ids
 from zinniadyke import platform
 from zinniadyke.platform import headers
@@ -68,6 +69,10 @@
         objective_at=request.arrived_at - waited_s + route.objective_s,
         waited_s=waited_s,
         model=request.header(headers.MODEL),
+        allowed_regions=_scope.intersect_regions(
+            route.allowed_regions,
+            workspace.allowed_regions if workspace else None,
+        ),
         prompt_parts=platform.shared_prompt_parts(
             request.header(headers.PREFIX_HASH),
             request.header(headers.MODEL),
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -260,9 +260,7 @@
         """Whether the budget and the targets allow another attempt."""
         return self._budget(call.service).balance >= 1 and any(
             state.within_limit
-            for state in self.target_table.candidates(
-                call.service, call.model, call.tried
-            )
+            for state in self.target_table.candidates(call.scope, call.tried)
         )
 
     def _admission(self, service: ids.ServiceName) -> _admission.Admission:
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -91,6 +91,7 @@
                 region=loaded.host.region,
                 regions=regions,
             ),
+            regions=regions,
         )
         self.crash_guard = _crash_guard.CrashGuard(
             name=loaded.host.name,
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import logging
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
 from zinniadyke import uptime
@@ -33,6 +35,8 @@
     select_targets
         Returns those targets of a service with engines that this entry
         uses; the others serve only while none of these does.
+    regions
+        Region of each availability zone.
 
     Attributes
     ----------
@@ -51,11 +55,13 @@
         select_targets: Callable[
             [list[directory.Target]], list[directory.Target]
         ] = lambda targets: targets,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         """Load the targets of the directory and follow its changes."""
         self.view = view
         self.version_bound_s = version_bound_s
         self.select_targets = select_targets
+        self.regions = regions or {}
         self.used: dict[ids.ServiceName, list[_target_state.TargetState]] = {}
         self.by_address: dict[str, list[_target_state.TargetState]] = {}
         self.indexed_targets: dict | None = None
@@ -157,28 +163,25 @@
         return found is state and not state.target.leaving
 
     def candidates(
-        self,
-        service: ids.ServiceName,
-        model: str,
-        tried: list[ids.TargetId],
+        self, scope: _scope.Scope, tried: list[ids.TargetId]
     ) -> list[_target_state.TargetState]:
         """Return the targets that may run a request.
 
         Ejected targets are included only if all others are excluded.
         """
         # Without an engine, targets hold no weights and serve any request.
-        holds_weights = self.has_engine(service)
-        least = self.min_version(model) if holds_weights else 0
-        used = self.used.get(service, [])
-        found = self._able_targets(used, model, tried, least, holds_weights)
+        holds_weights = self.has_engine(scope.service)
+        least = self.min_version(scope.model) if holds_weights else 0
+        used = self.used.get(scope.service, [])
+        found = self._able_targets(used, scope, tried, least, holds_weights)
         if not found:
             found = self._able_targets(
                 [
                     s
                     for s in self.states.values()
-                    if s.target.service == service
+                    if s.target.service == scope.service
                 ],
-                model,
+                scope,
                 tried,
                 least,
                 holds_weights,
@@ -191,7 +194,7 @@
     def _able_targets(
         self,
         states: list[_target_state.TargetState],
-        model: str,
+        scope: _scope.Scope,
         tried: list[ids.TargetId],
         least: int,
         holds_weights: bool,
@@ -203,10 +206,19 @@
             if self.accepts_requests(state)
             and state.target.id not in tried
             and (
-                not holds_weights or state.held_version(model) >= max(least, 1)
+                not holds_weights
+                or state.held_version(scope.model) >= max(least, 1)
+            )
+            and (
+                scope.allowed_regions is None
+                or scope.allows(self.region_of(state))
             )
         ]
 
+    def region_of(self, state: _target_state.TargetState) -> str:
+        """Return the region of a target; empty if its zone is unknown."""
+        return self.regions.get(state.target.zone, "")
+
     def accepts_requests(self, state: _target_state.TargetState) -> bool:
         """Whether a target may be sent requests at all.
 
--- a/zinniadyke/ids.py
+++ b/zinniadyke/ids.py
@@ -5,6 +5,7 @@
 
 HostName = NewType("HostName", str)
 ZoneName = NewType("ZoneName", str)
+RegionName = NewType("RegionName", str)
 WorkspaceName = NewType("WorkspaceName", str)
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
--- a/zinniadyke/platform/_decode_configuration.py
+++ b/zinniadyke/platform/_decode_configuration.py
@@ -32,6 +32,7 @@
     max_attempts: int = 1
     public: bool = False
     stream_resume: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Usual(msgspec.Struct):
@@ -82,6 +83,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _Configuration(msgspec.Struct):
@@ -127,7 +129,9 @@
         return None
     return {
         key: directory.Workspace(
-            name=ids.WorkspaceName(tenant.name), priority=tenant.priority
+            name=ids.WorkspaceName(tenant.name),
+            priority=tenant.priority,
+            allowed_regions=_regions(tenant.allowed_regions),
         )
         for tenant in tenants
         for key in tenant.api_keys
@@ -155,9 +159,15 @@
             for s in splits
             if s.service
         ),
+        allowed_regions=_regions(wire.allowed_regions),
     )
 
 
+def _regions(names: list[str]) -> frozenset[ids.RegionName] | None:
+    """Return the named regions; None, which allows all, without names."""
+    return frozenset(ids.RegionName(n) for n in names) or None
+
+
 def _retry_mode(wire: _Route) -> directory.RetryMode:
     if wire.kind == "idempotent":
         return directory.RetryMode.RETRY
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -5,7 +5,9 @@
 from zinniadyke.reports._indexes import encode_indexes
 from zinniadyke.reports._messages import CrashReport
 from zinniadyke.reports._messages import decode
+from zinniadyke.reports._messages import DemandByPriority
 from zinniadyke.reports._messages import encode
+from zinniadyke.reports._messages import Evacuations
 from zinniadyke.reports._messages import Interruption
 from zinniadyke.reports._messages import LoadReport
 from zinniadyke.reports._messages import Message
@@ -20,6 +22,8 @@
 
 __all__ = [
     "CrashReport",
+    "DemandByPriority",
+    "Evacuations",
     "Interruption",
     "LoadReport",
     "Message",
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -11,6 +11,24 @@
 VersionAgesMs = dict[str, dict[int, int | None]]
 
 
+class Evacuations(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Zones that are evacuated as of a revision of the store.
+
+    Attributes
+    ----------
+    era, revision
+        The store's era and the revision in it.
+    """
+
+    era: int
+    revision: int
+    zones: list[ids.ZoneName]
+
+
+# Requests per second by priority of their route.
+DemandByPriority = dict[int, float]
+
+
 class Subscribe(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=1
 ):
@@ -23,11 +41,17 @@
         in ms; None if unknown.
     region
         Region of the entry; empty if it does not say.
+    evacuations
+        Evacuated zones that the entry knows of; None if it knows of none.
+    demand
+        The entry's demand for the agent's target.
     """
 
     entry: str
     named: VersionAgesMs
     region: str = ""
+    evacuations: Evacuations | None = None
+    demand: DemandByPriority = {}
 
 
 class LoadReport(
@@ -60,6 +84,18 @@
     limit_per_s
         Requests a second that the target takes from all entries together;
         None if it names no limit.
+    evacuations
+        Newest evacuations that the agent was told; None before the first.
+    demand
+        Demand for the target of all subscribed entries.
+    cold_ms
+        Time for which the target is still cold; 0 if it is not.
+    pace
+        Factor by which work takes longer than usual on the target's host;
+        None if unknown.
+    kv_used, kv_total
+        KV cache that cannot be freed, and its capacity, in tokens x layers;
+        0 if unknown.
     """
 
     address: str
@@ -75,6 +111,12 @@
     local_entries: int = 0
     sent_ms: int = 0
     limit_per_s: float | None = None
+    evacuations: Evacuations | None = None
+    demand: DemandByPriority = {}
+    cold_ms: int = 0
+    pace: float | None = None
+    kv_used: int = 0
+    kv_total: int = 0
 
 
 class PieceQuery(
@@ -172,11 +214,14 @@
         Unix time in ms of the target's start, as registered; 0 if unknown.
     limit_per_s
         Requests a second that the target takes from all entries together.
+    lifetime_ms
+        Time for which a token shall be valid after it falls due.
     """
 
     address: str
     born_ms: int
     limit_per_s: float
+    lifetime_ms: int = 1000
 
 
 class TokenAnswer(
@@ -191,12 +236,15 @@
     next_in_ms
         Time until this entry gets a token without asking again, in ms; 0
         with a granted one.
+    lifetime_ms
+        Time for which a granted token is valid.
     """
 
     address: str
     born_ms: int
     granted: bool
     next_in_ms: int
+    lifetime_ms: int = 1000
 
 
 Message = (
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -14,6 +14,8 @@
         First and last port for connections between processes.
     link_mbps
         Bandwidth of the host's link, in Mbit/s.
+    memory_mb
+        Memory that a process on the host may use, in MB; 0 if unknown.
     """
 
     name: str
@@ -23,6 +25,7 @@
     regions: list["ZoneRegion"] = []
     ports: tuple[int, int] = (7700, 7715)
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class ZoneRegion(_schema.Section):
@@ -78,6 +81,13 @@
         Retry budget of all entries together, per time window that the
         operators set: ``retry_ratio`` times the requests of the service,
         plus ``retry_extra``.
+    evacuate_ms
+        Time after a zone's evacuation until no request may reach its
+        targets, in milliseconds; 0 if zones are not evacuated.
+    cold_overage, cold_slack
+        Requests that a cold target may get in one second from all entries:
+        ``cold_overage`` times the rate of its service, plus ``cold_slack``;
+        0 if targets are never cold.
     """
 
     version_ms: float = 8000.0
@@ -86,6 +96,9 @@
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_extra: float = 0.0
+    evacuate_ms: float = 0.0
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
 
 class PlatformProcessSettings(_schema.Section):
