--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -99,9 +99,15 @@
 
 
 class Deployment:
-    """A store, a gateway and scripted targets."""
+    """A store, a gateway and scripted targets.
 
-    def __init__(self, **bounds):
+    Parameters
+    ----------
+    regions
+        Region of each zone.
+    """
+
+    def __init__(self, regions=None, **bounds):
         self.store = fakes.FakeStore()
         self.targets = []
         self.gateway = gateway.Gateway(
@@ -110,6 +116,10 @@
                     name="e1",
                     zone="z1",
                     region="r1",
+                    regions=[
+                        settings.ZoneRegion(zone=zone, region=region)
+                        for zone, region in (regions or {}).items()
+                    ],
                     ip="127.0.0.1",
                     ports=(free_port(), 0),
                 ),
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -163,10 +163,13 @@
     ----------
     network
         First three numbers of the addresses, of their own for each test file.
+    bounds
+        Bounds in the settings of the entries.
     """
 
-    def __init__(self, *, network, entries=3, models=4, desks=0):
+    def __init__(self, *, network, entries=3, models=4, desks=0, **bounds):
         self.stopped = False
+        self.bounds = bounds
         self.network = network
         self.store = fakes.FakeStore()
         self.port = deploy.free_port()
@@ -242,7 +245,9 @@
                     requests=f"{ip}:{self.requests_port}",
                     ready=f"{ip}:{self.ready_port}",
                 ),
-                bounds=settings.BoundsSection(retry_extra=1000.0),
+                bounds=settings.BoundsSection(
+                    retry_extra=1000.0, **self.bounds
+                ),
             )
         )
         made.start()
--- a/tests/gateway/test_interest.py
+++ b/tests/gateway/test_interest.py
@@ -28,9 +28,9 @@
     )
 
 
-def select(targets, entry, region):
+def select(targets, entry, region, **more):
     return _interest.select_targets(
-        targets, entry=entry, region=region, regions=REGIONS
+        targets, entry=entry, region=region, regions=REGIONS, **more
     )
 
 
@@ -76,6 +76,24 @@
     assert set(regions.values()) == {_interest.TARGETS_PER_OTHER_REGION}
 
 
+def test_named_region_has_enough_used_targets_for_requests_bound_to_it():
+    targets = [make_target(n, 5) for n in range(100)]
+    found = select(targets, "e1", "r2", named_regions={"r2", "r3", "r9"})
+    regions = collections.Counter(REGIONS[t.zone] for t in found)
+    assert regions == {"r2": 20, "r3": 8, "r0": 2, "r1": 2, "r4": 2}
+
+
+def test_evacuated_targets_are_used_only_if_there_are_no_others():
+    """Used ones would leave an entry without targets that get requests."""
+    targets = [make_target(n, 5) for n in range(100)]
+    found = select(targets, "e1", "r2", evacuated_zones={"z2", "z3"})
+    assert {t.zone for t in found} == {"z0", "z1", "z4"}
+    assert len(found) == _interest.MIN_TARGETS
+    everywhere = {t.zone for t in targets}
+    found = select(targets, "e1", "r2", evacuated_zones=everywhere)
+    assert found == select(targets, "e1", "r2")
+
+
 def test_entry_whose_region_has_no_targets_uses_enough_of_others():
     targets = [make_target(n, 5) for n in range(100)]
     found = select(targets, "e1", "r6")
--- a/zinniadyke/directory/__init__.py
+++ b/zinniadyke/directory/__init__.py
@@ -4,6 +4,7 @@
 from zinniadyke.directory._configuration import index_routes
 from zinniadyke.directory._configuration import ServingConfiguration
 from zinniadyke.directory._configuration import Workspace
+from zinniadyke.directory._evacuations import Evacuations
 from zinniadyke.directory._follower import Follower
 from zinniadyke.directory._route import Backend
 from zinniadyke.directory._route import RetryMode
@@ -21,6 +22,7 @@
     "CallerLimits",
     "DesiredWeights",
     "EngineProfile",
+    "Evacuations",
     "Follower",
     "Origin",
     "RetryMode",
--- a/zinniadyke/directory/_configuration.py
+++ b/zinniadyke/directory/_configuration.py
@@ -67,6 +67,16 @@
                 return route
         return None
 
+    def named_regions(self) -> frozenset[ids.RegionName]:
+        """Return the regions that lists of allowed regions name."""
+        lists = [
+            route.allowed_regions
+            for routes in self.routes.values()
+            for route in routes
+        ]
+        lists += [w.allowed_regions for w in (self.workspaces or {}).values()]
+        return frozenset().union(*(names for names in lists if names))
+
     def find_origin(self) -> _service.Origin | None:
         """Return the origin of weights, or None if no service has one."""
         for service in self.services.values():
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 import logging
 
+import eventlet
 import msgspec
 
 from zinniadyke.directory import _configuration
+from zinniadyke.directory import _evacuations
 from zinniadyke.directory import _target
 from zinniadyke import ids
 from zinniadyke import uptime
@@ -19,6 +21,9 @@
 RECENT_VERSION_S = 30.0
 # Leaving targets that are remembered, the latest ones.
 MAX_LEAVING = 4096
+# A store that is restored from a copy may have lost an evacuation, which the
+# operator then writes again. Its zone stays evacuated for this time.
+EVACUATION_HOLD_S = 2.0
 MS_PER_S = 1000
 # Marks a version that was desired before this process could observe it.
 UNKNOWN_SINCE = float("-inf")
@@ -46,6 +51,13 @@
     leaving
         Incarnations of targets that are known to leave. A start of a target
         that leaves never takes requests again, whatever is listed later.
+    follows_evacuations
+        Whether this process needs a list of evacuations to serve requests.
+    evacuations
+        Newest list of evacuations; None before the first.
+    evacuated_zones
+        Zones that are evacuated now: those of the list, and for a time those
+        that a restored store does not list any more.
     on_change
         Functions that are called without arguments after each change.
     """
@@ -64,12 +76,19 @@
         ) = None
         self.watches_versions = False
         self.leaving: dict[tuple[ids.TargetId, int], None] = {}
+        self.follows_evacuations = False
+        self.evacuations: _evacuations.Evacuations | None = None
+        self.evacuated_zones: frozenset[ids.ZoneName] = frozenset()
         self.on_change: list[Callable[[], None]] = []
 
     @property
     def complete(self) -> bool:
         """Whether enough is known to serve requests."""
-        return self.configuration is not None and self.targets is not None
+        return (
+            self.configuration is not None
+            and self.targets is not None
+            and (self.evacuations is not None or not self.follows_evacuations)
+        )
 
     def set_configuration(
         self, new: _configuration.ServingConfiguration
@@ -108,6 +127,56 @@
         self.targets = targets
         self._notify()
 
+    def set_evacuations(
+        self, new: _evacuations.Evacuations, *, source: str
+    ) -> None:
+        """Apply a list of evacuations that is newer than the present one.
+
+        Parameters
+        ----------
+        source
+            Where the list comes from, for the log.
+        """
+        old = self.evacuations
+        if not new.newer_than(old):
+            return
+        self.evacuations = new
+        before = old.zones if old else frozenset()
+        held = self.evacuated_zones - before
+        if old is not None and new.era != old.era:
+            held = self.evacuated_zones
+            eventlet.spawn_after(
+                EVACUATION_HOLD_S, self._end_evacuation_hold, new.era
+            )
+        zones = new.zones | held
+        if old is None or zones != self.evacuated_zones:
+            self._put_evacuations_in_force(zones, source=source)
+
+    def _end_evacuation_hold(self, era: int) -> None:
+        """Drop zones that only lists of earlier eras name."""
+        # A later restoration has begun a hold of its own.
+        if self.evacuations.era == era and (
+            self.evacuated_zones != self.evacuations.zones
+        ):
+            self._put_evacuations_in_force(
+                self.evacuations.zones, source="hold"
+            )
+
+    def _put_evacuations_in_force(
+        self, zones: frozenset[ids.ZoneName], *, source: str
+    ) -> None:
+        self.evacuated_zones = zones
+        LOG.info(
+            "evacuations in force",
+            extra={
+                "zones": sorted(zones),
+                "era": self.evacuations.era,
+                "revision": self.evacuations.revision,
+                "source": source,
+            },
+        )
+        self._notify()
+
     def mark_leaving(self, target: _target.Target, *, source: str) -> None:
         """Record that a target said itself that it is leaving.
 
--- a/zinniadyke/errors/_codes.py
+++ b/zinniadyke/errors/_codes.py
@@ -62,6 +62,18 @@
         Ran.NOT_RUN,
         "an equal request crashes targets",
     )
+    REGION_UNAVAILABLE = (
+        3010,
+        503,
+        Ran.NOT_RUN,
+        "no target in the allowed regions",
+    )
+    ZONES_EVACUATED = (
+        3011,
+        503,
+        Ran.NOT_RUN,
+        "the targets' zones are evacuated",
+    )
 
     TARGET_FAILED = (4001, 502, Ran.RAN, "the target ran it and failed")
     OUTCOME_UNKNOWN = (4002, 504, Ran.UNKNOWN, "no answer from the target")
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -17,6 +17,7 @@
 from zinniadyke import errors
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _placement
+from zinniadyke.gateway import _rescope
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
 from zinniadyke import ids
@@ -97,6 +98,7 @@
         """
         deadline = time.monotonic() + min(RETRY_TOKEN_WAIT_S, call.remaining_s)
         while True:
+            self._rescope(call)
             candidates = self.target_table.candidates(call.scope, call.tried)
             state = self._choose_within_limits(candidates, lambda _: True)
             if state is not None:
@@ -119,6 +121,7 @@
             if state is not None:
                 return self._reserve_slot(state)
         while True:
+            self._rescope(call)
             # Checked again after each wait: targets may have closed.
             if not self.target_table.candidates(call.scope, call.tried):
                 raise self._make_refusal(errors.ResultCode.NO_TARGET, call)
@@ -196,6 +199,18 @@
             while self.queue.grant():
                 pass
 
+    def recheck_waiting(self) -> None:
+        """Let all waiting requests look for a target again.
+
+        Load: a zone is evacuated, or allowed regions change. Requests that
+        no target is left for are refused at once; the others queue again.
+        """
+        while self.queue.grant():
+            pass
+
+    def _rescope(self, call: _call.Call) -> None:
+        _rescope.rescope(call, self.target_table.view.configuration)
+
     def _reserve_slot(
         self, state: _target_state.TargetState
     ) -> _target_state.TargetState:
@@ -205,6 +220,7 @@
         return state
 
     def _choose_target(self, call) -> _target_state.TargetState | None:
+        self._rescope(call)
         return self._choose_within_limits(
             self.target_table.candidates(call.scope, call.tried),
             lambda state: self._free_slots(state) > 0,
@@ -330,8 +346,9 @@
             # Unlike slots, tokens come at a known time.
             wait_s = max(self._token_wait_s(call), RETRY_AFTER_MIN_S)
         if code is errors.ResultCode.NO_TARGET:
+            code = self.target_table.explain_no_target(call.scope)
             wait_s = NO_TARGET_RETRY_S
-            reopens_in_s = self.target_table.reopens_in_s(self.service)
+            reopens_in_s = self.target_table.reopens_in_s(call.scope)
             if reopens_in_s is not None:
                 return errors.RequestError(
                     code=code,
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -85,6 +85,9 @@
         leaving, before anything is relayed.
     on_writing
         Called with the attempt when ``writing`` becomes true.
+    why_not_send
+        Called once the connection is made; returns why the target must not
+        get the request, or an empty text.
     """
 
     def __init__(
@@ -110,6 +113,7 @@
         self.first_event_at: float | None = None
         self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
         self.on_writing: Callable[[Attempt], None] = lambda attempt: None
+        self.why_not_send: Callable[[], str] = lambda: ""
         self.started_at = time.monotonic()
 
     def begin(self, response_timeout_s: float) -> None:
@@ -120,9 +124,10 @@
         except _target_connection.NotConnectedError as error:
             self._finish(_call.Outcome.NOT_RUN, str(error))
             return
-        # Others may have learned it while this attempt was connecting.
-        if self.state.closed or self.state.target.leaving:
-            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
+        # It may have become known while this attempt was connecting.
+        reason = self.why_not_send()
+        if reason:
+            self._finish(_call.Outcome.NOT_RUN, reason)
             return
         try:
             self.connection.send(self._encode_request(), remaining_s)
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -30,6 +30,8 @@
         Parts of the prompt that other requests may share.
     allowed_regions
         Regions whose targets may run the request; None means all regions.
+    configuration
+        Configuration that set the allowed regions; None if unknown.
     content
         Digest of method, host, path, workspace and body.
     tried
@@ -61,6 +63,7 @@
     waited_s: float = 0.0
     model: str
     allowed_regions: frozenset[ids.RegionName] | None = None
+    configuration: directory.ServingConfiguration | None = None
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
     content: ids.RequestContent = ids.RequestContent("")
     last_event_id: str
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -73,6 +73,7 @@
             route.allowed_regions,
             workspace.allowed_regions if workspace else None,
         ),
+        configuration=configuration,
         prompt_parts=platform.shared_prompt_parts(
             request.header(headers.PREFIX_HASH),
             request.header(headers.MODEL),
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import logging
 import math
 import time
@@ -19,6 +20,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _rescope
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -40,6 +42,11 @@
 ENTRIES_COUNT_INTERVAL_S = 0.5
 # Targets tried for one request while none accepts a connection.
 MAX_PLACEMENTS = 4
+# Refusals that no target within the call's scope could have prevented.
+OUT_OF_SCOPE_CODES = (
+    errors.ResultCode.REGION_UNAVAILABLE,
+    errors.ResultCode.ZONES_EVACUATED,
+)
 
 
 class Forwarder:
@@ -80,7 +87,38 @@
             count_entries=self._entry_count,
             on_answer=self._reconsider_waiting,
         )
-        view.on_change.append(self.admit_waiting)
+        self.known_configuration = view.configuration
+        self.known_evacuated = view.evacuated_zones
+        view.on_change.append(self._apply_change)
+
+    def _apply_change(self) -> None:
+        """Let waiting requests follow a change of the directory."""
+        known = self.known_configuration
+        configuration = self.known_configuration = self.view.configuration
+        rescoped = configuration is not known and any(
+            c is not None and c.named_regions() for c in (known, configuration)
+        )
+        evacuated = self.known_evacuated is not self.view.evacuated_zones
+        self.known_evacuated = self.view.evacuated_zones
+        if rescoped:
+            self._log_unknown_regions(configuration)
+        if rescoped or evacuated:
+            for admission in self.admissions.values():
+                admission.recheck_waiting()
+        self.admit_waiting()
+
+    def _log_unknown_regions(
+        self, configuration: directory.ServingConfiguration
+    ) -> None:
+        unknown = configuration.named_regions() - set(self.regions.values())
+        if unknown:
+            LOG.warning(
+                "allowed regions unknown",
+                extra={
+                    "version": configuration.version,
+                    "regions": sorted(unknown),
+                },
+            )
 
     def admit_waiting(self) -> None:
         """Admit waiting requests of all services to free slots."""
@@ -113,8 +151,11 @@
                 else:
                     state = admission.acquire_for_retry(call)
                 self._check_suspects(call, admission, state)
-            except errors.RequestError:
-                if attempt is None:
+            except errors.RequestError as error:
+                if attempt is None or (
+                    error.code in OUT_OF_SCOPE_CODES
+                    and relay.certainly_not_run(attempt)
+                ):
                     raise
                 relay.give_up(attempt)
                 return
@@ -124,6 +165,9 @@
                 state, call.model
             )
             attempt.on_leaving = self._record_leaving
+            attempt.why_not_send = functools.partial(
+                self._why_not_send, call, state
+            )
             self.crash_guard.begin(attempt)
             try:
                 relay.run(attempt, start_deadline - uptime.now_s())
@@ -148,6 +192,12 @@
                 relay.give_up(attempt)
                 return
 
+    def _why_not_send(
+        self, call: _call.Call, state: _target_state.TargetState
+    ) -> str:
+        _rescope.rescope(call, self.view.configuration)
+        return self.target_table.may_still_send(call.scope, state)
+
     def _check_suspects(
         self,
         call: _call.Call,
@@ -258,6 +308,7 @@
 
     def _can_resume(self, call: _call.Call) -> bool:
         """Whether the budget and the targets allow another attempt."""
+        _rescope.rescope(call, self.view.configuration)
         return self._budget(call.service).balance >= 1 and any(
             state.within_limit
             for state in self.target_table.candidates(call.scope, call.tried)
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -47,6 +47,11 @@
 # Part of the time to notice a leaving target for which changes of
 # registrations are gathered, as every call to the store has a price.
 TARGETS_BATCH_SHARE = 0.25
+# Part of the time to evacuate a zone for which changes are gathered.
+EVACUATIONS_BATCH_SHARE = 0.1
+# Part of that time which a watch waits at most. One whose answer is lost is
+# noticed 0.6 s later, and a list that follows it also has its time limit.
+EVACUATIONS_WATCH_SHARE = 0.6
 # A watch ends this long before the operators' bounds must hold again after a
 # disruption, so that a silent connection is noticed and replaced by then.
 WATCH_MARGIN_S = 1.0
@@ -82,14 +87,24 @@
         for follower in self.followers:
             follower.watch_wait_s = watch_wait_s
         regions = {r.zone: r.region for r in loaded.host.regions}
+        evacuate_s = loaded.bounds.evacuate_ms / MS_PER_S
+        if evacuate_s > 0:
+            self.view.follows_evacuations = True
+            follower = platform.follow_evacuations(
+                self.store,
+                self.view,
+                zones={loaded.host.zone, *regions},
+                batch_window_s=EVACUATIONS_BATCH_SHARE * evacuate_s,
+            )
+            follower.watch_wait_s = min(
+                watch_wait_s, EVACUATIONS_WATCH_SHARE * evacuate_s
+            )
+            self.followers.append(follower)
         self.target_table = _target_table.TargetTable(
             view=self.view,
             version_bound_s=loaded.bounds.version_ms / MS_PER_S,
             select_targets=functools.partial(
-                _interest.select_targets,
-                entry=loaded.host.name,
-                region=loaded.host.region,
-                regions=regions,
+                self._select_targets, regions=regions
             ),
             regions=regions,
         )
@@ -135,6 +150,22 @@
         """Whether the load balancer should send new connections."""
         return self.view.complete and self.stopping_since is None
 
+    def _select_targets(
+        self, targets: list[directory.Target], *, regions: dict[str, str]
+    ) -> list[directory.Target]:
+        """Return the targets of a service with engines that are used."""
+        configuration = self.view.configuration
+        return _interest.select_targets(
+            targets,
+            entry=self.settings.host.name,
+            region=self.settings.host.region,
+            regions=regions,
+            evacuated_zones=self.view.evacuated_zones,
+            named_regions=(
+                configuration.named_regions() if configuration else ()
+            ),
+        )
+
     def start(self) -> None:
         """Start the background tasks, which run until :meth:`close`."""
         tasks = [follower.run for follower in self.followers]
--- a/zinniadyke/gateway/_interest.py
+++ b/zinniadyke/gateway/_interest.py
@@ -7,6 +7,7 @@
 its own have no free slots.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -20,6 +21,9 @@
 # Targets of each other region that an entry uses. Reports of a region's
 # targets also tell how many entries the region has.
 TARGETS_PER_OTHER_REGION = 2
+# The same of a region that lists of allowed regions name, as some requests may
+# be served nowhere else.
+TARGETS_PER_NAMED_REGION = 8
 # Targets that an entry uses at least, from other regions if its own has few.
 MIN_TARGETS = 16
 
@@ -30,6 +34,8 @@
     entry: str,
     region: str,
     regions: Mapping[str, str],
+    evacuated_zones: Collection[str] = (),
+    named_regions: Collection[str] = (),
 ) -> list[directory.Target]:
     """Return the targets of a service that an entry uses.
 
@@ -45,10 +51,17 @@
         Region of the entry.
     regions
         Region of each availability zone.
+    evacuated_zones
+        Zones whose targets get no requests; of a large service, they are
+        used only if all targets are in such zones.
+    named_regions
+        Regions that the configuration's lists of allowed regions name.
     """
     usable = [t for t in targets if not t.leaving]
     if len(usable) <= MAX_WHOLE_SERVICE:
         return usable
+    if evacuated_zones:
+        usable = [t for t in usable if t.zone not in evacuated_zones] or usable
     usable.sort(key=lambda t: rendezvous.weight(entry, t.host_ip))
     by_region: dict[str, list[directory.Target]] = {}
     for target in usable:
@@ -56,9 +69,12 @@
     own = by_region.pop(region, [])[:MAX_OWN_TARGETS]
     others: list[directory.Target] = []
     rest: list[directory.Target] = []
-    for found in by_region.values():
-        others += found[:TARGETS_PER_OTHER_REGION]
-        rest += found[TARGETS_PER_OTHER_REGION:]
+    for name, found in by_region.items():
+        used = TARGETS_PER_OTHER_REGION
+        if name in named_regions:
+            used = TARGETS_PER_NAMED_REGION
+        others += found[:used]
+        rest += found[used:]
     rest.sort(key=lambda t: rendezvous.weight(entry, t.host_ip))
     missing = max(0, MIN_TARGETS - len(own) - len(others))
     return own + others + rest[:missing]
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -36,10 +36,10 @@
     Attributes
     ----------
     named
-        Signals that the desired weights have changed, so that agents learn
-        of them at once.
-    last_desired_weights
-        Desired weights when ``named`` was last signalled.
+        Signals that the desired weights or the evacuations have changed, so
+        that agents learn of them at once.
+    last_desired_weights, last_evacuations
+        Desired weights and evacuations when ``named`` was last signalled.
     handlers
         Handlers of other messages, by type; called with the message and the
         host that sent it.
@@ -67,6 +67,7 @@
         self.sock.bind((ip, port))
         self.named = directory.Signal()
         self.last_desired_weights: dict = {}
+        self.last_evacuations: directory.Evacuations | None = None
         self.handlers: dict[type, Callable] = {}
         view.on_change.append(self._on_view_change)
 
@@ -78,6 +79,7 @@
                     entry=self.name,
                     named=self.view.desired_weights_ages_ms(),
                     region=self.region,
+                    evacuations=reports.describe_evacuations(self.view),
                 )
             )
             for host_ip in sorted(self.target_table.used_hosts()):
@@ -98,8 +100,12 @@
             )
 
     def _on_view_change(self) -> None:
-        if self.view.desired_weights != self.last_desired_weights:
+        if (
+            self.view.desired_weights != self.last_desired_weights
+            or self.view.evacuations is not self.last_evacuations
+        ):
             self.last_desired_weights = dict(self.view.desired_weights)
+            self.last_evacuations = self.view.evacuations
             self.named.send()
 
     def receive(self) -> None:
@@ -125,6 +131,7 @@
 
     def _apply_report(self, report: reports.LoadReport) -> None:
         reports.learn_desired_weights(self.view, report.named)
+        reports.learn_evacuations(self.view, report.evacuations)
         leaving = []
         for state in self.target_table.by_address.get(report.address, ()):
             target = state.target
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -91,6 +91,14 @@
         self._relay_response(attempt, body)
         attempt.outcome = _call.Outcome.ANSWERED
 
+    def certainly_not_run(self, attempt: _attempt.Attempt) -> bool:
+        """Whether no target ran the request, up to its last attempt."""
+        return (
+            attempt.outcome is _call.Outcome.NOT_RUN
+            and not self.may_have_run
+            and not self.streaming
+        )
+
     def give_up(self, attempt: _attempt.Attempt) -> None:
         """End the call with the result of its last attempt.
 
@@ -110,7 +118,7 @@
                 raise errors.RequestError(code=errors.ResultCode.TARGET_FAILED)
             self._relay_response(attempt, attempt.failed_body)
             return
-        if attempt.outcome is _call.Outcome.NOT_RUN and not self.may_have_run:
+        if self.certainly_not_run(attempt):
             raise errors.RequestError(
                 attempt.reason,
                 code=errors.ResultCode.TARGET_BUSY,
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -60,6 +60,11 @@
         Whether the target rejects new requests while it switches weights.
     outdated
         Whether a later-started target is registered at the same address.
+    evacuated
+        Whether the operator has evacuated the target's zone, as of the
+        table's last refresh.
+    excluded
+        Whether the target is leaving or evacuated, as of the last refresh.
     limit_per_s
         Requests a second that the target takes from all entries together;
         None if it names no limit.
@@ -97,6 +102,8 @@
         self.consecutive_failures = 0
         self.ejected_until = float("-inf")
         self.outdated = False
+        self.evacuated = False
+        self.excluded = target.leaving
         self.replaced_until = float("-inf")
         self.closed_until = float("-inf")
         self.limit_per_s: float | None = None
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -7,9 +7,11 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke import errors
 from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
+from zinniadyke import telemetry
 from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +68,7 @@
         self.by_address: dict[str, list[_target_state.TargetState]] = {}
         self.indexed_targets: dict | None = None
         self.indexed_services: dict | None = None
+        self.indexed_evacuated: frozenset | None = None
         self.states: dict[ids.TargetId, _target_state.TargetState] = {}
         # Targets that are no longer listed and are closed or name a limit, by
         # identity and start; they may be listed again.
@@ -80,12 +83,17 @@
         targets = self.view.targets or {}
         configuration = self.view.configuration
         services = configuration.services if configuration else {}
+        evacuated = self.view.evacuated_zones
         if (
             targets is self.indexed_targets
             and services is self.indexed_services
+            and evacuated is self.indexed_evacuated
         ):
             return
         self.indexed_targets, self.indexed_services = targets, services
+        self.indexed_evacuated = evacuated
+        if self.view.follows_evacuations:
+            telemetry.gauge(telemetry.Metric.EVACUATED_ZONES, len(evacuated))
         for name in self.states.keys() - targets.keys():
             self._remember_unlisted(self.states.pop(name))
         latest_start_ms = _latest_starts_ms(targets.values())
@@ -101,9 +109,11 @@
                 self.states[name] = state
             else:
                 state.target = target
-            self.states[name].outdated = (
+            state.outdated = (
                 0 < target.born_ms < latest_start_ms[target.address]
             )
+            state.evacuated = target.zone in evacuated
+            state.excluded = target.leaving or state.evacuated
         self._index()
 
     def _index(self) -> None:
@@ -200,7 +210,7 @@
         holds_weights: bool,
     ) -> list[_target_state.TargetState]:
         """Return those of some targets that may run a request."""
-        return [
+        able = [
             state
             for state in states
             if self.accepts_requests(state)
@@ -209,11 +219,10 @@
                 not holds_weights
                 or state.held_version(scope.model) >= max(least, 1)
             )
-            and (
-                scope.allowed_regions is None
-                or scope.allows(self.region_of(state))
-            )
         ]
+        if scope.allowed_regions is None:
+            return able
+        return [s for s in able if scope.allows(self.region_of(s))]
 
     def region_of(self, state: _target_state.TargetState) -> str:
         """Return the region of a target; empty if its zone is unknown."""
@@ -222,10 +231,43 @@
     def accepts_requests(self, state: _target_state.TargetState) -> bool:
         """Whether a target may be sent requests at all.
 
-        Load: targets that leave, whose address belongs to another one, or
-        that have asked this host to stay away.
+        Load: targets that leave, whose zone is evacuated, whose address
+        belongs to another one, or that have asked this host to stay away.
         """
-        return not (state.target.leaving or state.replaced or state.closed)
+        return not (state.excluded or state.replaced or state.closed)
+
+    def may_still_send(
+        self, scope: _scope.Scope, state: _target_state.TargetState
+    ) -> str:
+        """Return why a chosen target may get no request; empty if it may.
+
+        Load: what was learned while a connection to the target was made, or
+        while this host stood still. A target that is no longer listed is not
+        refreshed, so the zone is compared here.
+        """
+        if state.closed or state.target.leaving:
+            return "the target has closed"
+        if state.target.zone in self.view.evacuated_zones:
+            return "the target's zone is evacuated"
+        if not scope.allows(self.region_of(state)):
+            return "the target's region is not allowed"
+        return ""
+
+    def explain_no_target(self, scope: _scope.Scope) -> errors.ResultCode:
+        """Return the result code of a request without any target."""
+        present = [
+            s
+            for s in self.states.values()
+            if s.target.service == scope.service
+            and scope.allows(self.region_of(s))
+            and not (s.target.leaving or s.replaced)
+        ]
+        if present:
+            if all(s.evacuated for s in present):
+                return errors.ResultCode.ZONES_EVACUATED
+        elif scope.allowed_regions is not None:
+            return errors.ResultCode.REGION_UNAVAILABLE
+        return errors.ResultCode.NO_TARGET
 
     def has_open_target(self, service: ids.ServiceName) -> bool:
         """Whether any target of a service may be sent requests."""
@@ -234,19 +276,20 @@
             for s in self.states.values()
         )
 
-    def reopens_in_s(self, service: ids.ServiceName) -> float | None:
+    def reopens_in_s(self, scope: _scope.Scope) -> float | None:
         """Return the time until the first closed target takes requests again.
 
-        None if no target of the service has asked this host to stay away.
+        None if no target in the scope has asked this host to stay away.
         """
         now = time.monotonic()
         return min(
             (
                 s.closed_until - now
                 for s in self.states.values()
-                if s.target.service == service
+                if s.target.service == scope.service
                 and s.closed
-                and not (s.target.leaving or s.replaced)
+                and not (s.excluded or s.replaced)
+                and scope.allows(self.region_of(s))
             ),
             default=None,
         )
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -3,6 +3,7 @@
 from zinniadyke.platform._client import HOSTS_KIND
 from zinniadyke.platform._client import PlatformClient
 from zinniadyke.platform._follow import follow_configuration
+from zinniadyke.platform._follow import follow_evacuations
 from zinniadyke.platform._follow import follow_targets
 from zinniadyke.platform._follow import follow_versions
 from zinniadyke.platform._prompt_parts import shared_prompt_parts
@@ -41,6 +42,7 @@
     "StoredObject",
     "compare_and_swap",
     "follow_configuration",
+    "follow_evacuations",
     "follow_targets",
     "follow_versions",
     "parse_limit",
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -1,8 +1,12 @@
 """Followers that keep a view up to date with the store."""
 
+from collections.abc import Collection
 import logging
 
+import msgspec
+
 from zinniadyke import directory
+from zinniadyke import ids
 from zinniadyke.platform import _decode_configuration
 from zinniadyke.platform import _decode_target
 from zinniadyke.platform import _revision
@@ -17,6 +21,8 @@
 # call lets the next return many changes.
 TARGETS_BATCH_WINDOW_S = 0.3
 VERSIONS_KIND = "versions"
+# Each object's name is that of an evacuated zone.
+EVACUATIONS_KIND = "evacuations"
 
 
 def follow_configuration(
@@ -88,6 +94,69 @@
     return follower
 
 
+def follow_evacuations(
+    store: _store.StoreClient,
+    view: directory.View,
+    *,
+    zones: Collection[ids.ZoneName],
+    batch_window_s: float = 0.0,
+) -> directory.Follower:
+    """Return a follower that sets the view's evacuations.
+
+    It does not keep objects that lapse around an outage: the view itself
+    holds zones that a restored store has lost, so that all processes know
+    the same zones of a revision. An evacuation that a restored store lists
+    again after its removal is in force, as it is for a process that starts.
+
+    Parameters
+    ----------
+    zones
+        Names of all zones; an object of any other name evacuates nothing.
+    batch_window_s
+        Pause after each batch of changes, in seconds.
+    """
+    # Revision of each object that was logged, by name.
+    logged: dict[str, int] = {}
+
+    def on_update(objects: dict[str, _store.StoreObject]) -> None:
+        for name in logged.keys() - objects.keys():
+            del logged[name]
+        for name, stored in objects.items():
+            if logged.get(name) == stored.metadata.revision:
+                continue
+            logged[name] = stored.metadata.revision
+            if name not in zones:
+                _log_unreadable(stored, ValueError("no zone of this name"))
+            elif not _is_object(stored.spec):
+                LOG.warning(
+                    "evacuation in force although its spec is unreadable",
+                    extra={"zone": name},
+                )
+        view.set_evacuations(
+            directory.Evacuations(
+                era=follower.revision.era,
+                revision=follower.revision.number,
+                zones=frozenset(
+                    ids.ZoneName(name) for name in objects if name in zones
+                ),
+            ),
+            source="store",
+        )
+
+    follower = _make_follower(
+        store, EVACUATIONS_KIND, on_update, batch_window_s=batch_window_s
+    )
+    return follower
+
+
+def _is_object(raw: msgspec.Raw) -> bool:
+    """Whether a spec is a JSON object, as an evacuation's should be."""
+    try:
+        return isinstance(msgspec.json.decode(raw), dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return False
+
+
 def follow_targets(
     store: _store.StoreClient,
     view: directory.View,
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -1,6 +1,8 @@
 """Datagrams between agents and entries, and between agents."""
 
 from zinniadyke.reports._desired_weights import learn_desired_weights
+from zinniadyke.reports._evacuations import describe_evacuations
+from zinniadyke.reports._evacuations import learn_evacuations
 from zinniadyke.reports._indexes import decode_indexes
 from zinniadyke.reports._indexes import encode_indexes
 from zinniadyke.reports._messages import CrashReport
@@ -36,8 +38,10 @@
     "TokenRequest",
     "decode",
     "decode_indexes",
+    "describe_evacuations",
     "encode",
     "encode_indexes",
     "learn_desired_weights",
+    "learn_evacuations",
     "split_requests",
 ]
--- a/zinniadyke/settings/__init__.py
+++ b/zinniadyke/settings/__init__.py
@@ -10,6 +10,7 @@
 from zinniadyke.settings._platform_host import PlatformProcessSettings
 from zinniadyke.settings._platform_host import StoreSection
 from zinniadyke.settings._platform_host import TargetSection
+from zinniadyke.settings._platform_host import ZoneRegion
 from zinniadyke.settings._schema import FakeSettings
 from zinniadyke.settings._schema import LogSettings
 from zinniadyke.settings._schema import Settings
@@ -28,6 +29,7 @@
     "StatsdSettings",
     "StoreSection",
     "TargetSection",
+    "ZoneRegion",
     "check_deployment",
     "load",
 ]
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -49,6 +49,8 @@
     on_serving
         Called after each successful reading with whether the target holds
         weights, and with False when the target counts as down.
+    evacuations
+        Newest evacuations that an entry has reported; None before the first.
     switch_in_s
         Returns the time until the target switches weights, in seconds; None
         if no switch is planned.
@@ -71,6 +73,7 @@
         self.latest: platform.EngineReport | None = None
         self.on_serving: Callable[[bool], None] = lambda is_serving: None
         self.switch_in_s: Callable[[], float | None] = lambda: None
+        self.evacuations: reports.Evacuations | None = None
         self.region = region
         self.subscribers: dict[tuple[str, int], float] = {}
         # Subscribers in this region, or in one that they do not name.
@@ -112,6 +115,16 @@
         if message.region in ("", self.region):
             self.local_subscribers.add(sender)
         reports.learn_desired_weights(self.view, message.named)
+        self._learn_evacuations(message.evacuations)
+
+    def _learn_evacuations(self, told: reports.Evacuations | None) -> None:
+        """Keep the newest evacuations, to pass them on to all entries."""
+        known = self.evacuations
+        if told is not None and (
+            known is None
+            or (told.era, told.revision) > (known.era, known.revision)
+        ):
+            self.evacuations = told
 
     def run(self) -> None:
         """Read the target's load and send it, forever."""
@@ -156,6 +169,7 @@
                 local_entries=len(self.local_subscribers),
                 sent_ms=int(uptime.now_s() * MS_PER_S),
                 limit_per_s=report.limit_per_s,
+                evacuations=self.evacuations,
             )
         )
 
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -42,6 +42,8 @@
     PROMPT_PARTS_REFUSED = "prompt_parts_refused"
     # Requests that were found to crash targets, equal ones once.
     CONTENTS_REFUSED = "contents_refused"
+    # Zones in which no target gets requests.
+    EVACUATED_ZONES = "evacuated_zones"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
