--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -5,7 +5,6 @@
 import logging
 import time
 
-from zinniadyke import decimal_text
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _target_connection
 from zinniadyke.gateway import _target_state
@@ -17,6 +16,7 @@
 LOG = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
+MAX_LOGGED_CHARS = 40
 # A healthy target accepts within a few milliseconds; a lost SYN would be
 # retransmitted only after a second.
 CONNECT_TIMEOUT_S = 0.3
@@ -236,12 +236,25 @@
             self._finish(_call.Outcome.BROKEN, "answer without signature")
 
     def _record_load(self) -> None:
-        counts = [
-            decimal_text.parse_count(part)
-            for part in self.connection.header(headers.TARGET_LOAD).split(",")
-        ]
-        if len(counts) == 3 and None not in counts:
-            self.state.record_load(counts[0], counts[1])
+        text = self.connection.header(headers.TARGET_LOAD)
+        load = platform.parse_load(text)
+        if load is None:
+            return
+        if load.running is not None:
+            self.state.record_load(load.running, load.waiting)
+        if load.slowness is not None:
+            self.state.record_slowness(load.slowness)
+        if load.unusable and not self.state.load_header_logged:
+            # The target may state it in each answer.
+            self.state.load_header_logged = True
+            LOG.warning(
+                "figures of a target's load unusable, ignored",
+                extra={
+                    "target": self.state.target.id,
+                    "service": self.state.target.service,
+                    "value": text[:MAX_LOGGED_CHARS],
+                },
+            )
 
     def _record_limit(self) -> None:
         """Record the limit that the target names, or that it names none.
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -74,6 +74,11 @@
     closed_until
         Monotonic time until which the target wants no request from this
         host.
+    slowness
+        Factor by which work takes longer than usual on the target's host, as
+        last stated; None if it never was.
+    load_header_logged
+        Whether an unusable figure of the target's load has been logged.
     switches_at
         Monotonic time at which the target will switch its weights, which
         interrupts its running requests; infinite if none is planned.
@@ -104,6 +109,8 @@
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
         self.unlisted_at = float("-inf")
+        self.slowness: float | None = None
+        self.load_header_logged = False
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
@@ -114,6 +121,10 @@
             self.request_capacity - self.reported_requests, self.entries
         )
 
+    def record_slowness(self, factor: float) -> None:
+        """Record how long work takes on the target's host; 1 is usual."""
+        self.slowness = factor
+
     def record_limit(self, limit_per_s: float) -> None:
         """Record that the target names a limit."""
         self.limit_named_at = time.monotonic()
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -20,6 +20,8 @@
 from zinniadyke.platform._target_api import ModelServerClient
 from zinniadyke.platform._target_api import OriginClient
 from zinniadyke.platform._target_limit import parse_limit
+from zinniadyke.platform._target_load import Load
+from zinniadyke.platform._target_load import parse_load
 from zinniadyke.platform._template import render_template
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
@@ -31,6 +33,7 @@
     "Host",
     "HostRole",
     "HostState",
+    "Load",
     "ManifestAnswer",
     "ModelServerClient",
     "OriginClient",
@@ -44,6 +47,7 @@
     "follow_targets",
     "follow_versions",
     "parse_limit",
+    "parse_load",
     "parse_retry_after",
     "render_template",
     "shared_prompt_parts",
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -28,7 +28,8 @@
 # Requests a second that the target takes from all entries together, for as
 # long as its answers say so.
 TARGET_LIMIT = "server-limit"
-# Numbers of running requests, waiting requests and slots.
+# Numbers of running requests, waiting requests and slots; some targets add how
+# long work takes on their host at this moment, where 100 is usual.
 TARGET_LOAD = "x-zinniadyke-server-load"
 # Version of the weights that generated the answer.
 WEIGHTS_VERSION = "x-zinniadyke-weight-versions"
