--- /dev/null
+++ b/tests/platform/test_cold_time.py
@@ -0,0 +1,60 @@
+"""The time for which a target says that it is cold."""
+
+import logging
+
+import pytest
+
+from tests.platform import test_store
+from zinniadyke import platform
+from zinniadyke.platform import _decode_target
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds", "logged"),
+    [
+        ("", None, False),
+        ("2500", 2.5, False),
+        ("0", 0.0, False),
+        ("-1", None, True),
+        ("nan", None, True),
+        ("soon", None, True),
+        ("9" * 400, None, True),
+    ],
+)
+def test_unusable_times_in_answers_are_ignored_and_logged(
+    text, seconds, logged, caplog
+):
+    with caplog.at_level(logging.WARNING):
+        assert platform.parse_cold(text, "a:1") == seconds
+    assert bool(caplog.records) is logged
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds", "logged"),
+    [
+        ("null", None, False),
+        ("2500", 2.5, False),
+        ("0", 0.0, False),
+        ("-1", None, True),
+        ("1e999", None, True),
+        ("9" * 400, None, True),
+        ('"soon"', None, True),
+        ("true", None, True),
+        ("[1]", None, True),
+    ],
+)
+def test_unusable_times_in_registrations_are_ignored_and_logged(
+    value, seconds, logged, caplog
+):
+    """Such a time must not invalidate the whole registration."""
+    stored = test_store.registration(cold_remaining_ms=value)
+    with caplog.at_level(logging.WARNING):
+        for _ in range(3):
+            target = _decode_target.decode_target(stored, {})
+            assert target.cold_remaining_s == seconds
+    assert len(caplog.records) == logged
+
+
+def test_registration_without_a_cold_time_has_none():
+    target = _decode_target.decode_target(test_store.registration(), {})
+    assert target.cold_remaining_s is None
--- a/zinniadyke/directory/_service.py
+++ b/zinniadyke/directory/_service.py
@@ -71,9 +71,20 @@
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """One service of a configuration."""
+    """One service of a configuration.
+
+    Attributes
+    ----------
+    cold_s
+        Time in seconds for which its targets are cold after a start.
+    cold_per_s
+        Requests a second that a cold target takes from all entries together;
+        0 if there is no limit.
+    """
 
     name: ids.ServiceName
     max_connections: int
     engine: EngineProfile | None = None
     origin: Origin | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
--- a/zinniadyke/directory/_target.py
+++ b/zinniadyke/directory/_target.py
@@ -21,6 +21,9 @@
         after a restart of a target that keeps its id.
     weights
         Version of each model of which it holds all layers.
+    cold_remaining_s
+        Time in seconds for which it was still cold when it registered; None
+        if it did not say.
     """
 
     id: ids.TargetId
@@ -31,6 +34,7 @@
     leaving: bool
     born_ms: int
     weights: dict[ids.ModelName, ids.WeightsVersion]
+    cold_remaining_s: float | None = None
 
     @property
     def incarnation(self) -> tuple[ids.TargetId, int]:
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniadyke.platform._client import HOSTS_KIND
 from zinniadyke.platform._client import PlatformClient
+from zinniadyke.platform._cold_time import parse_cold
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_targets
 from zinniadyke.platform._follow import follow_versions
@@ -46,6 +47,7 @@
     "follow_configuration",
     "follow_targets",
     "follow_versions",
+    "parse_cold",
     "parse_limit",
     "parse_load",
     "parse_retry_after",
--- a/zinniadyke/platform/_decode_configuration.py
+++ b/zinniadyke/platform/_decode_configuration.py
@@ -70,6 +70,8 @@
     origin: str | None = None
     zone: str = ""
     link_mbps: float = 0.0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -190,6 +192,8 @@
         max_connections=wire.max_connections,
         engine=_engine(wire.engine) if wire.engine else None,
         origin=origin,
+        cold_s=max(wire.cold_s, 0.0),
+        cold_per_s=max(wire.cold_per_s, 0.0),
     )
 
 
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -4,6 +4,7 @@
 
 from zinniadyke import directory
 from zinniadyke import ids
+from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _store
 
 
@@ -32,6 +33,8 @@
     born: int = 0
     models: list[HeldModel] = []
     layers: HeldLayers | None = None
+    # Of any type, as an unusable time does not invalidate the registration.
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw()
 
 
 class _DesiredWeights(msgspec.Struct):
@@ -80,6 +83,10 @@
         weights=complete_versions(
             decoded.models, decoded.layers, layers.get(decoded.service, 0)
         ),
+        cold_remaining_s=_cold_time.decode_cold(
+            bytes(decoded.cold_remaining_ms),
+            ids.TargetId(stored.metadata.name),
+        ),
     )
 
 
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -13,6 +13,7 @@
 from zinniadyke import bounded_http
 from zinniadyke import errors
 from zinniadyke import ids
+from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _decode_target
 from zinniadyke.platform import _retry_after
 from zinniadyke.platform import _target_limit
@@ -53,6 +54,8 @@
     limit_per_s
         Requests a second that it takes from all entries together; None if
         it names no limit.
+    cold_s
+        Time in seconds for which it is still cold, as its answers said.
     """
 
     running: int
@@ -63,6 +66,7 @@
     weights: dict[ids.ModelName, ids.WeightsVersion]
     leaving: bool = False
     limit_per_s: float | None = None
+    cold_s: float = 0.0
 
 
 class _Report(msgspec.Struct):
@@ -124,6 +128,8 @@
         self.report_pool = _connection_pool(address, 1)
         # Monotonic time until which the server wants no calls.
         self.closed_until = float("-inf")
+        # Monotonic time until which the server said that it is cold.
+        self.cold_until = float("-inf")
         # Start of the server that said that it is leaving.
         self.leaving_born_ms: int | None = None
 
@@ -156,6 +162,7 @@
                 answer.headers.get(header_names.TARGET_LIMIT, ""),
                 self.address,
             ),
+            cold_s=max(self.cold_until - time.monotonic(), 0.0),
         )
 
     def staged_pieces(self, model: str) -> set[int]:
@@ -282,6 +289,11 @@
         self.closed_until = max(
             self.closed_until, _closed_until(answer, self.address)
         )
+        cold_s = _cold_time.parse_cold(
+            answer.headers.get(header_names.COLD_MS, ""), self.address
+        )
+        if cold_s is not None:
+            self.cold_until = time.monotonic() + cold_s
         if answer.status not in allowed:
             raise errors.EngineError(
                 f"{method} {path}: status {answer.status}"
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -31,6 +31,8 @@
 # Numbers of running requests, waiting requests and slots; some targets add how
 # long work takes on their host at this moment, where 100 is usual.
 TARGET_LOAD = "x-zinniadyke-server-load"
+# Milliseconds for which the target is still cold.
+COLD_MS = "x-zinniadyke-cold-ms"
 # Version of the weights that generated the answer.
 WEIGHTS_VERSION = "x-zinniadyke-weight-versions"
 LAST_EVENT_ID = "last-event-id"
