--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -216,12 +216,18 @@
         Requests a second that the target takes from all entries together.
     lifetime_ms
         Time for which a token shall be valid after it falls due.
+    wait_ms
+        Time for which a request waits for a token that is not due yet.
+    asked_ms
+        Uptime of the entry's host when it asked; 0 if it does not say.
     """
 
     address: str
     born_ms: int
     limit_per_s: float
     lifetime_ms: int = 1000
+    wait_ms: int = 200
+    asked_ms: int = 0
 
 
 class TokenAnswer(
@@ -238,6 +244,10 @@
         with a granted one.
     lifetime_ms
         Time for which a granted token is valid.
+    lent_ms
+        Uptime of the entry's host at which the token was lent, or shortly
+        before: ``asked_ms`` plus the time that the request has waited at
+        the agent. 0 if the entry did not say when it asked.
     """
 
     address: str
@@ -245,6 +255,7 @@
     granted: bool
     next_in_ms: int
     lifetime_ms: int = 1000
+    lent_ms: int = 0
 
 
 Message = (
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -4,6 +4,10 @@
 from zinniadyke.requests._claims import claim_key
 from zinniadyke.requests._claims import ClaimState
 from zinniadyke.requests._claims import ClaimStore
+from zinniadyke.requests._cold_limit import COLD_LIFETIME_S
+from zinniadyke.requests._cold_limit import cold_share
+from zinniadyke.requests._cold_limit import ColdLimit
+from zinniadyke.requests._cold_limit import make_cold_limit
 from zinniadyke.requests._content import digest_content
 from zinniadyke.requests._crash_findings import CrashFindings
 from zinniadyke.requests._crash_ledger import CrashLedger
@@ -20,11 +24,13 @@
 from zinniadyke.requests._workspace_limiter import WorkspaceLimiter
 
 __all__ = [
+    "COLD_LIFETIME_S",
     "TOKEN_LIFETIME_S",
     "WRITING_AFTER_S",
     "Claim",
     "ClaimState",
     "ClaimStore",
+    "ColdLimit",
     "CrashFindings",
     "CrashLedger",
     "FairQueue",
@@ -33,8 +39,10 @@
     "TokenSchedule",
     "WorkspaceLimiter",
     "claim_key",
+    "cold_share",
     "digest_content",
     "hash_token",
+    "make_cold_limit",
     "new_token",
     "token_matches",
     "token_workspace",
--- a/zinniadyke/requests/_token_schedule.py
+++ b/zinniadyke/requests/_token_schedule.py
@@ -24,6 +24,9 @@
         at a random offset. Schedules of entries that share a rate then do not
         fall due together after a quiet time. Otherwise a token is due at
         once after a quiet time.
+    lifetime_s
+        Time after which an unused token expires. With 0, tokens are at least
+        an interval apart.
 
     Attributes
     ----------
@@ -32,11 +35,17 @@
     """
 
     def __init__(
-        self, *, rate_per_s: float, now: float, keeps_phase: bool
+        self,
+        *,
+        rate_per_s: float,
+        now: float,
+        keeps_phase: bool,
+        lifetime_s: float = TOKEN_LIFETIME_S,
     ) -> None:
         """Start with no token, or with one if the phase is not kept."""
         self.interval_s = 1.0 / rate_per_s
         self.keeps_phase = keeps_phase
+        self.lifetime_s = lifetime_s
         self.due_at = now
         if keeps_phase:
             self.due_at += random.random() * self.interval_s
@@ -48,6 +57,11 @@
         self.interval_s = interval_s
         self._expire(now)
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the oldest unused token fell due."""
+        self._expire(now)
+        return max(0.0, now - self.due_at)
+
     def count(self, now: float) -> int:
         """Return the number of tokens that may be taken now."""
         self._expire(now)
@@ -69,7 +83,7 @@
         return max(0.0, self.due_at - now)
 
     def _expire(self, now: float) -> None:
-        late_s = now - self.due_at - TOKEN_LIFETIME_S
+        late_s = now - self.due_at - self.lifetime_s
         if late_s <= 0:
             return
         if self.keeps_phase:
