--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniadyke.platform._client import HOSTS_KIND
 from zinniadyke.platform._client import PlatformClient
+from zinniadyke.platform._cold_time import parse_cold
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_evacuations
 from zinniadyke.platform._follow import follow_targets
@@ -21,6 +22,8 @@
 from zinniadyke.platform._target_api import ModelServerClient
 from zinniadyke.platform._target_api import OriginClient
 from zinniadyke.platform._target_limit import parse_limit
+from zinniadyke.platform._target_load import Load
+from zinniadyke.platform._target_load import parse_load
 from zinniadyke.platform._template import render_template
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
@@ -32,6 +35,7 @@
     "Host",
     "HostRole",
     "HostState",
+    "Load",
     "ManifestAnswer",
     "ModelServerClient",
     "OriginClient",
@@ -45,7 +49,9 @@
     "follow_evacuations",
     "follow_targets",
     "follow_versions",
+    "parse_cold",
     "parse_limit",
+    "parse_load",
     "parse_retry_after",
     "render_template",
     "shared_prompt_parts",
