--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -10,6 +10,8 @@
 from zinniadyke.requests._crash_ledger import WRITING_AFTER_S
 from zinniadyke.requests._fair_queue import FairQueue
 from zinniadyke.requests._histograms import Histograms
+from zinniadyke.requests._lane_queue import Lane
+from zinniadyke.requests._lane_queue import LaneQueue
 from zinniadyke.requests._retry_budget import RetryBudget
 from zinniadyke.requests._token_schedule import TOKEN_LIFETIME_S
 from zinniadyke.requests._token_schedule import TokenSchedule
@@ -29,6 +31,8 @@
     "CrashLedger",
     "FairQueue",
     "Histograms",
+    "Lane",
+    "LaneQueue",
     "RetryBudget",
     "TokenSchedule",
     "WorkspaceLimiter",
--- a/zinniadyke/requests/_fair_queue.py
+++ b/zinniadyke/requests/_fair_queue.py
@@ -43,6 +43,10 @@
     abandoned: bool = False
 
 
+# Start tag, arrival number and waiter.
+Entry = tuple[float, int, Waiter]
+
+
 class FairQueue:
     """Orders waiting requests by start-time fair queueing.
 
@@ -58,7 +62,7 @@
 
     def __init__(self) -> None:
         """Start with an empty queue."""
-        self.heap: list[tuple[float, int, Waiter]] = []
+        self.heap: list[Entry] = []
         self.arrival_numbers = itertools.count()
         self.virtual_time = 0.0
         self.finish_tags: dict[Flow, float] = {}
@@ -108,16 +112,25 @@
             requests. QUEUE_TIMEOUT: no grant came within ``timeout_s``.
         """
         flow = Flow(workspace=workspace, priority=max(priority, 0))
+        self._wait(
+            Waiter(flow=flow, grant_event=event.Event()),
+            share,
+            max_waiting,
+            timeout_s,
+        )
+
+    def _wait(
+        self, waiter: Waiter, share: int, max_waiting: int, timeout_s: float
+    ) -> None:
+        """Wait until a request is granted, as :meth:`wait`."""
+        flow = waiter.flow
         if self.waiting_by_flow.get(flow, 0) >= max_waiting:
             raise errors.RequestError(
                 code=errors.ResultCode.QUEUE_FULL,
                 retry_after_s=self.retry_after_s(),
             )
-        waiter = Waiter(flow=flow, grant_event=event.Event())
         start_tag = self._start_tag(flow, share)
-        heapq.heappush(
-            self.heap, (start_tag, next(self.arrival_numbers), waiter)
-        )
+        self._push((start_tag, next(self.arrival_numbers), waiter))
         self.waiting_by_flow[flow] = self.waiting_by_flow.get(flow, 0) + 1
         try:
             with eventlet.Timeout(max(timeout_s, 0), False):
@@ -136,16 +149,22 @@
             start_tag, _, waiter = heapq.heappop(self.heap)
             if waiter.abandoned:
                 continue
-            waiter.granted = True
-            self.pending_grants += 1
-            self._remove_waiting(waiter.flow)
-            self.virtual_time = max(self.virtual_time, start_tag)
-            self._update_grant_interval()
-            waiter.grant_event.send()
+            self._grant(start_tag, waiter)
             return True
         self.finish_tags.clear()
         return False
 
+    def _push(self, entry: Entry) -> None:
+        heapq.heappush(self.heap, entry)
+
+    def _grant(self, start_tag: float, waiter: Waiter) -> None:
+        waiter.granted = True
+        self.pending_grants += 1
+        self._remove_waiting(waiter)
+        self.virtual_time = max(self.virtual_time, start_tag)
+        self._update_grant_interval()
+        waiter.grant_event.send()
+
     def retry_after_s(self) -> float:
         """Return the estimated time until the queue drains, in seconds."""
         wait_s = (len(self) + 1) * self.grant_interval_s
@@ -163,9 +182,10 @@
             self.pending_grants -= 1
             return
         waiter.abandoned = True
-        self._remove_waiting(waiter.flow)
+        self._remove_waiting(waiter)
 
-    def _remove_waiting(self, flow: Flow) -> None:
+    def _remove_waiting(self, waiter: Waiter) -> None:
+        flow = waiter.flow
         self.waiting_by_flow[flow] -= 1
         if not self.waiting_by_flow[flow]:
             del self.waiting_by_flow[flow]
