--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -9,6 +9,7 @@
 from zinniadyke.bench._placement import PlacementOptions
 from zinniadyke.bench._placement import PlacementResult
 from zinniadyke.bench._placement import run_placement
+from zinniadyke.bench._placement_classes import run_classes
 from zinniadyke.bench._requests import OpenLoopGenerator
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
@@ -34,6 +35,7 @@
     "describe_unmet_bounds",
     "fluid_bound_s",
     "run_ceilings",
+    "run_classes",
     "run_overload",
     "run_placement",
     "run_requests",
--- a/zinniadyke/bench/_placement.py
+++ b/zinniadyke/bench/_placement.py
@@ -46,13 +46,13 @@
     _virtual_time.install()
     return PlacementResult(
         rows=[
-            _ScenarioRun(scenario=scenario, options=options).simulate()
+            ScenarioRun(scenario=scenario, options=options).simulate()
             for scenario in _placement_workload.SCENARIOS
         ]
     )
 
 
-class _ScenarioRun:
+class ScenarioRun:
     """Simulation of one load scenario on one fleet."""
 
     def __init__(
@@ -60,21 +60,36 @@
         *,
         scenario: _placement_workload.LoadScenario,
         options: PlacementOptions,
+        shape: _placement_fleet.FleetShape | None = None,
     ) -> None:
+        """Start the fleet."""
         self.scenario = scenario
         self.seconds = options.seconds
         self.rng = random.Random(f"{options.seed} {scenario.name}")
         # Placement uses the global generator of the random module.
         random.seed(options.seed)
-        self.fleet = _placement_fleet.Fleet(rng=self.rng)
+        self.fleet = _placement_fleet.Fleet(rng=self.rng, shape=shape)
         self.capacities_per_s: list[float] = []
         self.outcomes: list[_placement_row.RequestOutcome] = []
 
     def simulate(self) -> _placement_row.PlacementRow:
-        capacity = self.fleet.capacity_per_s
-        simulated_requests = _placement_workload.generate_requests(
-            self.scenario, capacity, self.seconds, self.rng
+        """Play the scenario and summarize its outcomes."""
+        self.play(
+            _placement_workload.generate_requests(
+                self.scenario,
+                self.fleet.capacity_per_s,
+                self.seconds,
+                self.rng,
+            )
+        )
+        return _placement_row.PlacementRow.from_outcomes(
+            self.scenario.name, self.capacities_per_s, self.outcomes
         )
+
+    def play(
+        self, simulated_requests: list[_placement_workload.SimulatedRequest]
+    ) -> None:
+        """Send requests at their times, and end the engines after them."""
         eventlet.spawn(self._change_fleet)
         eventlet.spawn(self._sample_capacity)
         start_time = time.monotonic()
@@ -89,9 +104,12 @@
         # Ends the engines and their load reports before the next scenario.
         for name in list(self.fleet.engines):
             self.fleet.crash(name)
-        return _placement_row.PlacementRow.from_outcomes(
-            self.scenario.name, self.capacities_per_s, self.outcomes
-        )
+
+    def choose_entry(
+        self, simulated_request: _placement_workload.SimulatedRequest
+    ) -> int:
+        """Return the number of the entry that a request is sent to."""
+        return self.rng.randrange(len(self.fleet.entries))
 
     def _sample_capacity(self) -> None:
         for _ in range(int(self.seconds)):
@@ -116,7 +134,7 @@
         )
         first_try_at = time.monotonic()
         for number in range(MAX_CALLER_TRIES):
-            entry_number = self.rng.randrange(len(self.fleet.entries))
+            entry_number = self.choose_entry(simulated_request)
             entry = self.fleet.entries[entry_number]
             call = self.fleet.call(
                 entry_number, simulated_request, first_try_at
--- a/zinniadyke/bench/_placement_fleet.py
+++ b/zinniadyke/bench/_placement_fleet.py
@@ -8,6 +8,7 @@
 import time
 
 import eventlet
+import msgspec
 
 from zinniadyke.bench import _placement_workload
 from zinniadyke.bench import _simulated_engine
@@ -60,22 +61,44 @@
 )
 
 
+class FleetShape(msgspec.Struct, frozen=True, kw_only=True):
+    """Numbers of entries and targets, and the engines' profile.
+
+    Attributes
+    ----------
+    workspace_priority
+        Priority that all workspaces state; None if they state none.
+    same_route
+        Whether all requests have the priority of the same route.
+    """
+
+    entry_count: int = ENTRY_COUNT
+    target_count: int = TARGET_COUNT
+    profile: directory.EngineProfile = PROFILE
+    workspace_priority: int | None = None
+    same_route: bool = True
+
+
 class Fleet:
     """Engines, and entries that learn their load from reports."""
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self, *, rng: random.Random, shape: FleetShape | None = None
+    ) -> None:
         """Start all engines and entries."""
         self.rng = rng
+        self.shape = shape or FleetShape()
+        self.profile = self.shape.profile
         self.engines: dict[ids.TargetId, _simulated_engine.SimulatedEngine]
         self.engines = {}
         self.registered_targets: dict[ids.TargetId, directory.Target] = {}
-        self.views = [directory.View() for _ in range(ENTRY_COUNT)]
+        self.views = [directory.View() for _ in range(self.shape.entry_count)]
         configuration = directory.ServingConfiguration(
             version=1,
             routes={},
             services={
                 SERVICE: directory.Service(
-                    name=SERVICE, max_connections=200, engine=PROFILE
+                    name=SERVICE, max_connections=200, engine=self.profile
                 )
             },
             limits=directory.CallerLimits(),
@@ -83,7 +106,7 @@
         )
         for view in self.views:
             view.set_configuration(configuration)
-        for _ in range(TARGET_COUNT):
+        for _ in range(self.shape.target_count):
             self.add_target()
         self.target_tables = [
             admission.TargetTable(view=v, version_bound_s=VERSION_BOUND_S)
@@ -107,16 +130,17 @@
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that all engines together can complete."""
-        step_s = PROFILE.step_s + PROFILE.step_per_request_s * PROFILE.slots
+        profile = self.profile
+        step_s = profile.step_s + profile.step_per_request_s * profile.slots
         request_time_s = _placement_workload.mean_engine_time_s(
-            step_s / PROFILE.slots, PROFILE.prefill_tokens_per_s
+            step_s / profile.slots, profile.prefill_tokens_per_s
         )
         return len(self.engines) / request_time_s
 
     @property
     def free_slot_share(self) -> float:
         """Share of free slots over all engines."""
-        slots = PROFILE.slots * len(self.engines)
+        slots = self.profile.slots * len(self.engines)
         used = sum(
             len(e.running) + len(e.waiting) for e in self.engines.values()
         )
@@ -127,14 +151,14 @@
         number = len(self.registered_targets)
         name = ids.TargetId(f"t{number}")
         self.engines[name] = _simulated_engine.SimulatedEngine(
-            profile=PROFILE, prefill_chunk_tokens=PREFILL_CHUNK_TOKENS
+            profile=self.profile, prefill_chunk_tokens=PREFILL_CHUNK_TOKENS
         )
         self.registered_targets[name] = directory.Target(
             id=name,
             service=SERVICE,
             address=f"10.0.0.{number}:80",
             zone=ZONES[number % len(ZONES)],
-            slots=PROFILE.slots,
+            slots=self.profile.slots,
             leaving=False,
             born_ms=0,
             weights={MODEL: 1},
@@ -164,7 +188,7 @@
                 self.target_tables, self.entries, strict=True
             ):
                 state = target_table.states[name]
-                state.entries = ENTRY_COUNT
+                state.entries = self.shape.entry_count
                 state.record_load(len(engine.running), len(engine.waiting))
                 entry.admit_waiting()
             eventlet.sleep(REPORT_INTERVAL_S)
@@ -184,10 +208,15 @@
         return admission.Call(
             request=None,
             id=ids.RequestId("r"),
-            route=ROUTE,
+            route=self._route(simulated_request.kind),
             service=SERVICE,
             workspace=simulated_request.workspace,
-            priority=simulated_request.kind.priority,
+            priority=(
+                simulated_request.kind.priority
+                if self.shape.workspace_priority is None
+                else self.shape.workspace_priority
+            ),
+            workspace_priority=self.shape.workspace_priority,
             deadline=deadline,
             objective_at=now - waited_s + simulated_request.kind.objective_s,
             waited_s=waited_s,
@@ -195,3 +224,10 @@
             last_event_id="",
             tried=[],
         )
+
+    def _route(self, kind: _placement_workload.RequestKind) -> directory.Route:
+        if self.shape.same_route:
+            return ROUTE
+        return msgspec.structs.replace(
+            ROUTE, name=kind.name, priority=kind.priority
+        )
--- a/zinniadyke/bench/_simulated_engine.py
+++ b/zinniadyke/bench/_simulated_engine.py
@@ -21,6 +21,7 @@
         when the engine has crashed.
     """
 
+    prompt_tokens: int
     prompt_tokens_left: int
     answer_tokens_left: int
     events: queue.LightQueue
@@ -51,6 +52,7 @@
     def submit(self, prompt_tokens: int, answer_tokens: int) -> Job:
         """Queue a request; its progress is sent to :attr:`Job.events`."""
         job = Job(
+            prompt_tokens=prompt_tokens,
             prompt_tokens_left=prompt_tokens,
             answer_tokens_left=answer_tokens,
             events=queue.LightQueue(),
@@ -104,7 +106,12 @@
             )
             job.prompt_tokens_left -= prompt_part_tokens
             prefilled_tokens += prompt_part_tokens
-        step_s = profile.step_s + profile.step_per_request_s * len(decoding)
+        context_tokens = sum(j.prompt_tokens + j.tokens_out for j in decoding)
+        step_s = (
+            profile.step_s
+            + profile.step_per_request_s * len(decoding)
+            + profile.step_per_context_token_s * context_tokens
+        )
         eventlet.sleep(
             steps * step_s + prefilled_tokens / profile.prefill_tokens_per_s
         )
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -14,7 +14,10 @@
 
 from zinniadyke import errors
 from zinniadyke.gateway import _call
+from zinniadyke.gateway import _class_record
+from zinniadyke.gateway import _demand
 from zinniadyke.gateway import _refusals
+from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _slots
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -29,6 +32,8 @@
 # Limit per workspace and priority. In practice the estimated wait keeps the
 # queue shorter.
 MAX_QUEUE_LENGTH = 1000
+# Rank of a class that must not wait for others any longer.
+FIRST_RANK = -1
 
 
 class Admission:
@@ -57,8 +62,11 @@
         self.target_table = target_table
         self.service = service
         self.request_token = request_token
-        self.queue = requests.FairQueue()
+        self.queue = requests.LaneQueue()
         self.waits = _waits.Waits()
+        self.demand = _demand.Demand()
+        self.record = _class_record.ClassRecord()
+        self.queue.rank_of = self._rank_of
         self.slots = _slots.Slots(
             target_table=target_table,
             service=service,
@@ -105,10 +113,13 @@
         RequestError
             No target can serve the call in time. Nothing was sent.
         """
-        if not len(self.queue):
+        lane = _lane(call)
+        self.demand.record(lane.rank)
+        self.record.record_arrival(lane.rank)
+        if self.queue.goes_first(lane):
             state = self._choose_target(call)
             if state is not None:
-                return self.slots.reserve(state)
+                return self._admit(call, state)
         while True:
             # Checked again after each wait: targets may have closed.
             if not self.target_table.candidates(call.scope, call.tried):
@@ -128,16 +139,15 @@
             if 0 < token_wait_s < max_wait_s:
                 # An entry's own share falls due without any message.
                 eventlet.spawn_after(token_wait_s, self.admit_waiting)
-            self.queue.wait(
+            self.queue.wait_in(
+                lane,
                 call.workspace or ids.WorkspaceName(""),
-                1,
-                call.priority,
                 MAX_QUEUE_LENGTH,
                 max_wait_s,
             )
             state = self._choose_target(call)
             if state is not None:
-                return self.slots.reserve(state)
+                return self._admit(call, state)
 
     def release(self, state: _target_state.TargetState) -> None:
         """Free the slot of a finished attempt and admit waiting requests."""
@@ -164,8 +174,16 @@
             return
         states = self.target_table.available_targets(self.service)
         free = sum(self.slots.free_places(s) for s in states)
-        while len(self.queue) and free > self.queue.pending_grants:
-            self.queue.grant()
+        reserved: dict[int, int] = {}
+
+        def has_place(lane: requests.Lane) -> bool:
+            if lane.rank not in reserved:
+                reserved[lane.rank] = self._reserved(states, lane.rank)
+            left = free - reserved[lane.rank]
+            return left > self.queue.pending_grants
+
+        while len(self.queue) and self.queue.grant_eligible(has_place):
+            pass
         if len(self.queue):
             self.slots.request_tokens(states, len(self.queue))
 
@@ -181,15 +199,60 @@
             while self.queue.grant():
                 pass
 
+    def _admit(
+        self, call: _call.Call, state: _target_state.TargetState
+    ) -> _target_state.TargetState:
+        self.record.record_admission(call.urgency.route)
+        return self.slots.reserve(state)
+
     def _choose_target(self, call) -> _target_state.TargetState | None:
+        candidates = self.target_table.candidates(call.scope, call.tried)
+        call.reserved_slots = self._reserved(candidates, call.urgency.route)
+        if call.reserved_slots and call.reserved_slots >= sum(
+            self.slots.free_places(s) for s in candidates
+        ):
+            return None
         return self.slots.choose(
-            self.target_table.candidates(call.scope, call.tried),
-            lambda state: self.slots.free_slots(state) > 0,
+            candidates,
+            lambda s: self.slots.free_slots(s) > 0,
             self.waits.mean_response_s,
         )
 
+    def _rank_of(self, rank: int) -> int:
+        """Return the rank that a class counts as: the first if it is short."""
+        return FIRST_RANK if self.record.is_short(rank) else rank
+
+    def _reserved(
+        self, states: list[_target_state.TargetState], rank: int
+    ) -> int:
+        """Return how many of the targets' free slots a class leaves free."""
+        if not self.demand.mixed or self.record.is_short(rank):
+            return 0
+        used = max(len(self.target_table.used.get(self.service, ())), 1)
+        demand = {p: d / used for p, d in self.demand.per_s().items()}
+        return self.slots.round(
+            sum(
+                _reservation.reserved_slots(
+                    demand,
+                    rank,
+                    slots=state.target.slots,
+                    mean_response_s=self.waits.mean_response_s,
+                )
+                for state in states
+            )
+        )
+
     def _expected_wait_s(self, call: _call.Call) -> float:
-        return self.waits.slot_wait_s(self.queue.count_ahead(call.priority))
+        lane = _lane(call)
+        return self.waits.slot_wait_s(
+            self.queue.count_ahead_in(lane),
+            more_urgent_per_s=sum(
+                per_s
+                for rank, per_s in self.demand.per_s().items()
+                if rank < self._rank_of(lane.rank)
+            ),
+            least_part=self.record.least_part(lane.rank),
+        )
 
     def _slot_wait_s(self, call: _call.Call) -> float:
         """Return the estimated wait for a slot; infinite if slots are free.
@@ -211,7 +274,7 @@
                 for s in candidates
                 if s.tokens is not None and self.slots.free_slots(s) > 0
             ),
-            self.queue.count_ahead(call.priority),
+            self.queue.count_ahead_in(_lane(call)),
         )
 
     def _queue_full(self, call: _call.Call) -> errors.RequestError:
@@ -225,3 +288,13 @@
         return _refusals.no_target(
             self.target_table.reopens_in_s(self.service)
         )
+
+
+def _lane(call: _call.Call) -> requests.Lane:
+    """Return the lane in which a call waits."""
+    return requests.Lane(
+        level=call.workspace_priority,
+        priority=call.urgency.workspace,
+        rank=call.urgency.route,
+        scope=None,
+    )
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -8,6 +8,7 @@
 from zinniadyke import directory
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _scope
+from zinniadyke.gateway import _urgency
 from zinniadyke import ids
 
 
@@ -24,6 +25,10 @@
         first event of a stream, still meets the route's objective.
     waited_s
         Time that the caller had waited before this request, in seconds.
+    priority
+        Priority of the workspace, or of the route if it states none.
+    workspace_priority
+        Priority that the workspace states; None if it states none.
     model
         Requested model; empty for services without models.
     prompt_parts
@@ -43,6 +48,8 @@
         Queue length at the admission decision, the wait that was estimated
         then, and the longest wait that still meets the objective and the
         deadline.
+    reserved_slots
+        Slots left free for more urgent arrivals at the admission decision.
     load_at_send, load_age_s
         Known requests at the target when the first attempt started, and the
         age of the target's load report.
@@ -56,6 +63,7 @@
     service: ids.ServiceName
     workspace: ids.WorkspaceName | None
     priority: int
+    workspace_priority: int | None = None
     deadline: float
     objective_at: float
     waited_s: float = 0.0
@@ -72,6 +80,7 @@
     queue_length_at_decision: int = 0
     expected_wait_s: float = 0.0
     max_wait_s: float = 0.0
+    reserved_slots: int = 0
     load_at_send: int = 0
     load_age_s: float = 0.0
 
@@ -80,6 +89,13 @@
         """What may be the cause if a target crashes on this request."""
         return self.prompt_parts | {self.content}
 
+    @property
+    def urgency(self) -> _urgency.Urgency:
+        """How urgent it is, compared with others for the service."""
+        return _urgency.Urgency(
+            workspace=self.priority, route=self.route.priority
+        )
+
     @property
     def scope(self) -> _scope.Scope:
         """Which targets may run the request."""
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -55,16 +55,15 @@
     deadline_s = _deadline_s(request)
     waited_s = wait_estimator.waited_s(route.name, deadline_s)
     wait_s = min(deadline_s, route.timeout_s)
-    priority = route.priority
-    if workspace is not None and workspace.priority is not None:
-        priority = workspace.priority
+    stated = workspace.priority if workspace is not None else None
     return _call.Call(
         request=request,
         id=ids.RequestId(request_id),
         route=route,
         service=choose_service(route),
         workspace=workspace.name if workspace else None,
-        priority=priority,
+        priority=route.priority if stated is None else stated,
+        workspace_priority=stated,
         deadline=request.arrived_at + wait_s,
         objective_at=request.arrived_at - waited_s + route.objective_s,
         waited_s=waited_s,
--- a/zinniadyke/gateway/_slots.py
+++ b/zinniadyke/gateway/_slots.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
+import time
 
 from zinniadyke.gateway import _placement
+from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
 from zinniadyke import ids
@@ -44,6 +47,8 @@
         self.service = service
         self.zone_penalty = zone_penalty
         self.request_token = request_token
+        self.drawn = 0.0
+        self.drawn_at = float("-inf")
 
     def reserve(
         self, state: _target_state.TargetState
@@ -67,6 +72,19 @@
             free = min(free, state.tokens.count)
         return free
 
+    def round(self, reserved: float) -> int:
+        """Round reserved slots randomly, in the same way for an interval.
+
+        Otherwise each of many decisions would draw anew, and the lowest of
+        the numbers would apply.
+        """
+        if not reserved:
+            return 0
+        now = time.monotonic()
+        if now > self.drawn_at + _reservation.REPORT_INTERVAL_S:
+            self.drawn, self.drawn_at = random.random(), now
+        return math.floor(reserved + self.drawn)
+
     def choose(
         self,
         candidates: list[_target_state.TargetState],
--- a/zinniadyke/gateway/_waits.py
+++ b/zinniadyke/gateway/_waits.py
@@ -68,9 +68,29 @@
             self.completion_times.popleft()
         return max(len(self.completion_times), 1) / COMPLETION_WINDOW_S
 
-    def slot_wait_s(self, ahead: int) -> float:
-        """Return the estimated wait behind some requests, in seconds."""
-        return (ahead + 1) / self.completions_per_s()
+    def slot_wait_s(
+        self,
+        ahead: float,
+        *,
+        more_urgent_per_s: float = 0.0,
+        least_part: float = 0.0,
+    ) -> float:
+        """Return the estimated wait behind some requests, in seconds.
+
+        Load: less urgent requests that wait in vain, because more urgent
+        ones keep arriving and take the slots that become free.
+
+        Parameters
+        ----------
+        more_urgent_per_s
+            Arrivals of more urgent requests.
+        least_part
+            Part of the completions that they leave at least.
+        """
+        per_s = self.completions_per_s()
+        left_per_s = max(per_s - more_urgent_per_s, least_part * per_s)
+        # At most one request in a window is left if nothing else is known.
+        return (ahead + 1) / max(left_per_s, 1 / COMPLETION_WINDOW_S)
 
     def max_wait_s(self, call: _call.Call) -> float:
         """Return the longest wait that still meets the objective."""
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -127,13 +127,17 @@
     options = [
         option("seconds", None, "Time a load.", flag=False, default="30"),
         option("seed", None, "Seed.", flag=False, default="1"),
+        option("classes", None, "Methods for classes of different urgency."),
     ]
 
     def handle(self) -> int:
         """Run the command."""
         from zinniadyke import bench
 
-        result = bench.run_placement(
+        run = bench.run_placement
+        if self.option("classes"):
+            run = bench.run_classes
+        result = run(
             bench.PlacementOptions(
                 seconds=positive_integer(self, "seconds"),
                 seed=positive_integer(self, "seed"),
