--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -205,6 +205,18 @@
             while self.queue.grant():
                 pass
 
+    def has_variable_capacity(self) -> bool:
+        """Whether the slots that a request may get change while it waits.
+
+        Load: classes of different urgency that take slots from one another,
+        and hosts that share their processors with other work. Elsewhere a
+        request that misses its objective gains nothing by waiting.
+        """
+        return self.demand.mixed or any(
+            s.slowness is not None
+            for s in self.target_table.used.get(self.service, ())
+        )
+
     def recheck_waiting(self) -> None:
         """Let all waiting requests look for a target again.
 
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -20,6 +20,9 @@
     deadline
         Monotonic time by which the caller must have the final response, in
         seconds.
+    caller_deadline
+        Monotonic time at which the caller gives up, in seconds; the route
+        may end the request earlier.
     objective_at
         Latest monotonic time, in seconds, at which the response, or the
         first event of a stream, still meets the route's objective.
@@ -67,6 +70,7 @@
     priority: int
     workspace_priority: int | None = None
     deadline: float
+    caller_deadline: float = float("inf")
     objective_at: float
     waited_s: float = 0.0
     model: str
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -65,6 +65,7 @@
         priority=route.priority if stated is None else stated,
         workspace_priority=stated,
         deadline=request.arrived_at + wait_s,
+        caller_deadline=request.arrived_at + deadline_s,
         objective_at=request.arrived_at - waited_s + route.objective_s,
         waited_s=waited_s,
         model=request.header(headers.MODEL),
--- a/zinniadyke/gateway/_crash_guard.py
+++ b/zinniadyke/gateway/_crash_guard.py
@@ -121,6 +121,10 @@
                     for relay in hosts:
                         self.send(report, relay)
 
+    def local_relays(self) -> list[str]:
+        """Return the agents of this region that pass on messages."""
+        return self._relays().get(self.region, [])
+
     def handle_news(self, news: reports.SuspectNews, host_ip: str) -> None:
         """Apply what another entry learned."""
         for suspect in news.cleared:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -125,6 +125,10 @@
         for admission in self.admissions.values():
             admission.admit_waiting()
 
+    def has_variable_capacity(self, service: ids.ServiceName) -> bool:
+        """Whether a service's slots are short for some of its requests."""
+        return self._admission(service).has_variable_capacity()
+
     def _reconsider_waiting(self, service: ids.ServiceName) -> None:
         self._admission(service).reconsider_waiting()
 
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -20,6 +20,7 @@
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _returning_callers
 from zinniadyke.gateway import _target_table
 from zinniadyke import listening
 from zinniadyke import platform
@@ -114,6 +115,9 @@
             regions=regions,
             target_table=self.target_table,
         )
+        self.returning_callers = _returning_callers.ReturningCallers(
+            relays=self.crash_guard.local_relays
+        )
         self.forwarder = _forward.Forwarder(
             view=self.view,
             target_table=self.target_table,
@@ -132,12 +136,14 @@
             on_report=self.forwarder.admit_waiting,
         )
         self.crash_guard.send = self.load_listener.send
+        self.returning_callers.send = self.load_listener.send
         borrower = self.forwarder.token_borrower
         borrower.send = self.load_listener.send
         self.load_listener.handlers = {
             reports.TokenAnswer: borrower.handle_answer,
             reports.CrashReport: self.crash_guard.handle_crash,
             reports.SuspectNews: self.crash_guard.handle_news,
+            reports.RefusedCallers: self.returning_callers.handle_refused,
         }
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.callers: set[_caller_connection.CallerConnection] = set()
@@ -240,9 +246,12 @@
             call = _call_builder.build_call(
                 request, self.view.configuration, self.wait_estimator
             )
+            if self.forwarder.has_variable_capacity(call.service):
+                self.returning_callers.recognize(call)
             self.forwarder.serve(call, caller)
         except errors.RequestError as error:
             code = error.code
+            self._record_refusal(call, error)
             self._send_error(request, caller, error)
         except _caller_connection.CallerDisconnectedError:
             code = errors.ResultCode.CANCELLED
@@ -259,6 +268,17 @@
         finally:
             self._log_request(request, call, code)
 
+    def _record_refusal(
+        self, call: _call.Call | None, error: errors.RequestError
+    ) -> None:
+        """Remember a caller that is told to come back."""
+        if (
+            call is not None
+            and error.retry_after_s is not None
+            and self.forwarder.has_variable_capacity(call.service)
+        ):
+            self.returning_callers.record_refusal(call)
+
     def _check_accepting(self) -> None:
         if not self.view.complete:
             raise errors.RequestError(
--- a/zinniadyke/reports/__init__.py
+++ b/zinniadyke/reports/__init__.py
@@ -15,6 +15,8 @@
 from zinniadyke.reports._messages import Message
 from zinniadyke.reports._messages import PieceQuery
 from zinniadyke.reports._messages import PieceReport
+from zinniadyke.reports._messages import RefusedCaller
+from zinniadyke.reports._messages import RefusedCallers
 from zinniadyke.reports._messages import Subscribe
 from zinniadyke.reports._messages import SuspectNews
 from zinniadyke.reports._messages import SuspectsByRequest
@@ -31,6 +33,8 @@
     "Message",
     "PieceQuery",
     "PieceReport",
+    "RefusedCaller",
+    "RefusedCallers",
     "Subscribe",
     "SuspectNews",
     "SuspectsByRequest",
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -258,6 +258,34 @@
     lent_ms: int = 0
 
 
+class RefusedCaller(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """A request that an entry has just refused; its caller may return.
+
+    Attributes
+    ----------
+    content
+        Digest of what the request asks for.
+    deadline_in_ms
+        Time until the caller's deadline, in ms.
+    waited_ms
+        Time since the caller first sent the request, in ms.
+    """
+
+    content: ids.RequestContent
+    deadline_in_ms: int
+    waited_ms: int
+
+
+class RefusedCallers(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=10
+):
+    """Requests that an entry has refused, for the entries of its region."""
+
+    callers: list[RefusedCaller]
+
+
 Message = (
     Subscribe
     | LoadReport
@@ -268,6 +296,7 @@
     | SuspectNews
     | TokenRequest
     | TokenAnswer
+    | RefusedCallers
 )
 
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -200,6 +200,14 @@
                 continue
             self._send_to(data, sender)
 
+    def relay_to_region(
+        self, message: reports.Message, sender: tuple[str, int]
+    ) -> None:
+        """Pass an entry's message on to the other entries of this region."""
+        data = reports.encode(message)
+        for receiver in self.local_subscribers - {sender}:
+            self._send_to(data, receiver)
+
     def send(
         self, message: reports.Message, receiver: tuple[str, int]
     ) -> None:
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -53,6 +53,7 @@
                 reports.Interruption: self.crash_reporter.handle_interruption,
                 reports.CrashReport: self.crash_reporter.handle_news,
                 reports.SuspectNews: self.crash_reporter.handle_news,
+                reports.RefusedCallers: self.reporter.relay_to_region,
             }
         )
         self.tasks: list[eventlet.greenthread.GreenThread] = []
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -44,6 +44,10 @@
     CONTENTS_REFUSED = "contents_refused"
     # Zones in which no target gets requests.
     EVACUATED_ZONES = "evacuated_zones"
+    # Requests whose caller was refused before and has come back.
+    CALLERS_RETURNED = "callers_returned"
+    # Requests that wait for a slot although they miss their objective.
+    LATE_WAITS = "late_waits"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
