--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -1,6 +1,7 @@
 """Zones that the operator evacuates, at an entry and through agents."""
 
 import socket
+import time
 
 import eventlet
 import pytest
@@ -19,6 +20,8 @@
 PEERS_LEARN_S = 0.5
 NETWORK = "127.9.4"
 DOWN = "503 Down"
+# An answer later than this is given up.
+LOST_S = 30.0
 
 
 def answer(exchange):
@@ -32,9 +35,10 @@
 class System(deploy.Deployment):
     """A deployment with targets in several zones."""
 
-    def __init__(self, *, evacuate_ms=EVACUATE_MS):
-        super().__init__(regions=REGIONS, evacuate_ms=evacuate_ms)
+    def __init__(self, *, evacuate_ms=EVACUATE_MS, **bounds):
+        super().__init__(regions=REGIONS, evacuate_ms=evacuate_ms, **bounds)
         self.kinds_read = []
+        self.watches_lost = 0
         self.kinds_down = set()
         serve = self.store._serve
 
@@ -43,6 +47,12 @@
             self.kinds_read.append(kind)
             if kind in self.kinds_down:
                 return _http.answer(start_response, DOWN)
+            if self.watches_lost and (
+                kind == "evacuations"
+                and "watch" in environ.get("QUERY_STRING", "")
+            ):
+                self.watches_lost -= 1
+                eventlet.sleep(LOST_S)
             return serve(environ, start_response)
 
         self.store._serve = serve_some
@@ -189,6 +199,10 @@
     status, headers, _, _ = system.ask("/once/x")
     assert system.view.evacuated_zones == {"z1"}
     assert not one.seen
+    # It has not failed, and serves as soon as the zone returns.
+    if still_listed:
+        state = system.gateway.target_table.states[one.name]
+        assert state.consecutive_failures == 0
     if others:
         assert status == 200
     else:
@@ -236,6 +250,22 @@
         system.stop()
 
 
+def test_lost_answer_of_a_watch_does_not_delay_an_evacuation():
+    """The time until it is noticed may not use up the stated bound."""
+    system = System(stable_window_ms=60000.0)
+    try:
+        system.add_target(answer)
+        system.watches_lost = 1
+        system.start()
+        assert deploy.wait_until(lambda: not system.watches_lost)
+        system.store.put("evacuations", "z1", {})
+        started = time.monotonic()
+        assert deploy.wait_until(lambda: system.view.evacuated_zones)
+        assert time.monotonic() - started < EVACUATE_MS / 1000
+    finally:
+        system.stop()
+
+
 def test_entry_that_the_store_turns_away_learns_evacuations_from_agents():
     fleet = fleets.Fleet(
         network=NETWORK, entries=2, models=2, evacuate_ms=EVACUATE_MS
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -78,6 +78,8 @@
         Whether the target ended the connection before the response did.
     withdrawn
         Whether this entry ended the connection.
+    withheld
+        Whether this entry sent nothing, as ``why_not_send`` named a reason.
     writing
         Whether the target went on with the answer after it began it.
     on_leaving
@@ -109,6 +111,7 @@
         self.failed_body = b""
         self.cut_off = False
         self.withdrawn = False
+        self.withheld = False
         self.writing = False
         self.first_event_at: float | None = None
         self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
@@ -124,9 +127,13 @@
         except _target_connection.NotConnectedError as error:
             self._finish(_call.Outcome.NOT_RUN, str(error))
             return
-        # It may have become known while this attempt was connecting.
+        # Others may have learned it while this attempt was connecting.
+        if self.state.closed or self.state.target.leaving:
+            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
+            return
         reason = self.why_not_send()
         if reason:
+            self.withheld = True
             self._finish(_call.Outcome.NOT_RUN, reason)
             return
         try:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -259,8 +259,8 @@
             return
         if attempt.misdirected:
             state.mark_replaced()
-        # A withdrawn request says nothing about the target.
-        failed = not (attempt.refused or attempt.withdrawn)
+        # A withdrawn or withheld request says nothing about the target.
+        failed = not (attempt.refused or attempt.withdrawn or attempt.withheld)
         ejected = state.record_failure() if failed else False
         if ejected:
             telemetry.count(
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -245,8 +245,6 @@
         while this host stood still. A target that is no longer listed is not
         refreshed, so the zone is compared here.
         """
-        if state.closed or state.target.leaving:
-            return "the target has closed"
         if state.target.zone in self.view.evacuated_zones:
             return "the target's zone is evacuated"
         if not scope.allows(self.region_of(state)):
