--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -22,6 +22,7 @@
 DOWN = "503 Down"
 # An answer later than this is given up.
 LOST_S = 30.0
+STOOD_STILL_S = 20.0
 
 
 def answer(exchange):
@@ -250,6 +251,36 @@
         system.stop()
 
 
+@pytest.mark.parametrize("store_answers", [True, False])
+def test_entry_that_stood_still_asks_before_it_sends(system, store_answers):
+    """No message of the time in which it was frozen has been read yet."""
+    one = system.add_target(answer)
+    system.watches_lost = 1
+    system.start()
+    assert deploy.wait_until(lambda: not system.watches_lost)
+    guard = system.gateway.standstill_guard
+    if store_answers:
+        system.store.put("evacuations", "z1", {})
+    else:
+        system.kinds_down.add("evacuations")
+        eventlet.spawn_after(0.2, system.report_evacuations, 1 << 40, "z1")
+    guard.checked_at -= STOOD_STILL_S
+    assert system.codes("/once/x", count=1) == {(503, ZONES_EVACUATED)}
+    assert not one.seen
+
+
+def test_entry_that_stood_still_alone_uses_what_it_knew(system):
+    """Without the store and agents, requests wait only for a short time."""
+    system.add_target(answer)
+    system.start()
+    system.kinds_down.add("evacuations")
+    system.gateway.standstill_guard.checked_at -= STOOD_STILL_S
+    started = time.monotonic()
+    assert system.codes("/once/x", count=1) == {(200, None)}
+    assert time.monotonic() - started < 1.0
+    assert system.codes("/once/x", count=1) == {(200, None)}
+
+
 def test_lost_answer_of_a_watch_does_not_delay_an_evacuation():
     """The time until it is noticed may not use up the stated bound."""
     system = System(stable_window_ms=60000.0)
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -127,15 +127,16 @@
         except _target_connection.NotConnectedError as error:
             self._finish(_call.Outcome.NOT_RUN, str(error))
             return
-        # Others may have learned it while this attempt was connecting.
-        if self.state.closed or self.state.target.leaving:
-            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
-            return
+        # It may have become known while this attempt was connecting.
         reason = self.why_not_send()
         if reason:
             self.withheld = True
             self._finish(_call.Outcome.NOT_RUN, reason)
             return
+        # Others may have learned it meanwhile.
+        if self.state.closed or self.state.target.leaving:
+            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
+            return
         try:
             self.connection.send(self._encode_request(), remaining_s)
             self.connection.read_head(
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
@@ -59,6 +60,11 @@
         as a number of requests in flight.
     regions
         Region of each availability zone.
+
+    Attributes
+    ----------
+    wait_up_to_date
+        Waits until an entry that stood still knows what has changed.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
             count_entries=self._entry_count,
             on_answer=self._reconsider_waiting,
         )
+        self.wait_up_to_date: Callable[[], None] = lambda: None
         self.known_configuration = view.configuration
         self.known_evacuated = view.evacuated_zones
         view.on_change.append(self._apply_change)
@@ -195,6 +202,7 @@
     def _why_not_send(
         self, call: _call.Call, state: _target_state.TargetState
     ) -> str:
+        self.wait_up_to_date()
         _rescope.rescope(call, self.view.configuration)
         return self.target_table.may_still_send(call.scope, state)
 
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -20,6 +20,7 @@
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _standstill
 from zinniadyke.gateway import _target_table
 from zinniadyke import listening
 from zinniadyke import platform
@@ -88,18 +89,19 @@
             follower.watch_wait_s = watch_wait_s
         regions = {r.zone: r.region for r in loaded.host.regions}
         evacuate_s = loaded.bounds.evacuate_ms / MS_PER_S
+        self.evacuations: directory.Follower | None = None
         if evacuate_s > 0:
             self.view.follows_evacuations = True
-            follower = platform.follow_evacuations(
+            self.evacuations = platform.follow_evacuations(
                 self.store,
                 self.view,
                 zones={loaded.host.zone, *regions},
                 batch_window_s=EVACUATIONS_BATCH_SHARE * evacuate_s,
             )
-            follower.watch_wait_s = min(
+            self.evacuations.watch_wait_s = min(
                 watch_wait_s, EVACUATIONS_WATCH_SHARE * evacuate_s
             )
-            self.followers.append(follower)
+            self.followers.append(self.evacuations)
         self.target_table = _target_table.TargetTable(
             view=self.view,
             version_bound_s=loaded.bounds.version_ms / MS_PER_S,
@@ -131,6 +133,11 @@
             target_table=self.target_table,
             on_report=self.forwarder.admit_waiting,
         )
+        self.standstill_guard = _standstill.StandstillGuard(
+            refresh=self._refresh_evacuations
+        )
+        if self.evacuations is not None:
+            self.forwarder.wait_up_to_date = self.standstill_guard.wait
         self.crash_guard.send = self.load_listener.send
         borrower = self.forwarder.token_borrower
         borrower.send = self.load_listener.send
@@ -166,11 +173,18 @@
             ),
         )
 
+    def _refresh_evacuations(self) -> bool:
+        """Ask agents and the store; return whether the store answered."""
+        self.load_listener.named.send()
+        return self.evacuations.try_relist()
+
     def start(self) -> None:
         """Start the background tasks, which run until :meth:`close`."""
         tasks = [follower.run for follower in self.followers]
         tasks += [self.load_listener.subscribe, self.load_listener.receive]
         tasks += [self._serve_ready, self._accept]
+        if self.evacuations is not None:
+            tasks.append(self.standstill_guard.run)
         self.tasks = [eventlet.spawn(task) for task in tasks]
 
     def shut_down(self) -> bool:
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -16,7 +16,7 @@
 LOG = logging.getLogger(__name__)
 
 # One connection for each watch of a process and one for other calls.
-MAX_CONNECTIONS = 4
+MAX_CONNECTIONS = 5
 # The store is a few milliseconds away. A longer timeout would wait for the
 # kernel, which sends a lost SYN packet again after 1 s.
 CONNECT_TIMEOUT_S = 0.5
