--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -78,6 +78,8 @@
         Whether the target ended the connection before the response did.
     withdrawn
         Whether this entry ended the connection.
+    withheld
+        Whether this entry sent nothing, as ``why_not_send`` named a reason.
     writing
         Whether the target went on with the answer after it began it.
     on_leaving
@@ -109,6 +111,7 @@
         self.failed_body = b""
         self.cut_off = False
         self.withdrawn = False
+        self.withheld = False
         self.writing = False
         self.first_event_at: float | None = None
         self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
@@ -127,8 +130,13 @@
         # It may have become known while this attempt was connecting.
         reason = self.why_not_send()
         if reason:
+            self.withheld = True
             self._finish(_call.Outcome.NOT_RUN, reason)
             return
+        # Others may have learned it meanwhile.
+        if self.state.closed or self.state.target.leaving:
+            self._finish(_call.Outcome.NOT_RUN, "the target has closed")
+            return
         try:
             self.connection.send(self._encode_request(), remaining_s)
             self.connection.read_head(
