--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -101,7 +101,7 @@
 class Deployment:
     """A store, a gateway and scripted targets."""
 
-    def __init__(self, **bounds):
+    def __init__(self, memory_mb=0.0, **bounds):
         self.store = fakes.FakeStore()
         self.targets = []
         self.gateway = gateway.Gateway(
@@ -112,6 +112,7 @@
                     region="r1",
                     ip="127.0.0.1",
                     ports=(free_port(), 0),
+                    memory_mb=memory_mb,
                 ),
                 store=settings.StoreSection(address=self.store.address),
                 listen=settings.ListenSection(
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -120,7 +120,7 @@
         tracemalloc.stop()
     assert min(statuses) >= 500
     assert peak < MEMORY_BOUND_BYTES
-    assert _target_connection.BUFFERED_BYTES.held == 0
+    assert system.gateway.memory.answers.held == 0
 
 
 def test_splitter_refuses_an_event_over_the_limit():
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -19,6 +19,7 @@
 from zinniadyke.gateway import _call_builder
 from zinniadyke.gateway import _caller_wait
 from zinniadyke.gateway import _events
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _request_parser
 from zinniadyke import platform
@@ -121,7 +122,10 @@
 @SETTINGS
 @hypothesis.given(parts=st.lists(st.binary(max_size=60), max_size=6))
 def test_callers_bytes_are_parsed_or_rejected(parts):
-    parser = _request_parser.RequestParser(limits=directory.CallerLimits())
+    parser = _request_parser.RequestParser(
+        limits=directory.CallerLimits(),
+        memory=_memory_budget.ProcessMemory().open_connection(),
+    )
     for part in parts:
         parser.feed(part)
     assert all(
--- a/zinniadyke/errors/_codes.py
+++ b/zinniadyke/errors/_codes.py
@@ -62,6 +62,12 @@
         Ran.NOT_RUN,
         "an equal request crashes targets",
     )
+    OUT_OF_MEMORY = (
+        3012,
+        503,
+        Ran.NOT_RUN,
+        "the body does not fit in memory",
+    )
 
     TARGET_FAILED = (4001, 502, Ran.RAN, "the target ran it and failed")
     OUTCOME_UNKNOWN = (4002, 504, Ran.UNKNOWN, "no answer from the target")
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -7,6 +7,7 @@
 
 from zinniadyke import decimal_text
 from zinniadyke.gateway import _call
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _target_connection
 from zinniadyke.gateway import _target_state
 from zinniadyke import platform
@@ -93,13 +94,16 @@
         call: _call.Call,
         state: _target_state.TargetState,
         last_event_id: str,
+        answers: _memory_budget.MemoryBudget,
     ) -> None:
         """Prepare the attempt; :meth:`begin` sends the request."""
         self.call = call
         self.state = state
         self.last_event_id = last_event_id
         self.connection = _target_connection.TargetConnection(
-            address=state.target.address, method=call.request.method
+            address=state.target.address,
+            method=call.request.method,
+            answers=answers,
         )
         self.outcome: _call.Outcome | None = None
         self.reason = ""
@@ -125,7 +129,12 @@
             self._finish(_call.Outcome.NOT_RUN, "the target has closed")
             return
         try:
-            self.connection.send(self._encode_request(), remaining_s)
+            self.connection.send(
+                self._encode_head(),
+                self.call.request.body,
+                stall_s=response_timeout_s,
+                timeout_s=self.call.remaining_s,
+            )
             self.connection.read_head(
                 min(
                     response_timeout_s,
@@ -133,6 +142,9 @@
                 )
             )
         except _target_connection.BrokenResponseError as error:
+            if not self.connection.sent:
+                self._finish(_call.Outcome.NOT_RUN, str(error))
+                return
             self.mark_broken(error)
             return
         self._record_load()
@@ -281,7 +293,7 @@
             },
         )
 
-    def _encode_request(self) -> bytes:
+    def _encode_head(self) -> bytes:
         call, request = self.call, self.call.request
         dropped = _connection_options(request.headers)
         lines = [
@@ -304,7 +316,7 @@
         lines.extend(
             f"{n}: {v}\r\n".encode("latin-1") for n, v in entry_headers
         )
-        return b"".join(lines) + b"\r\n" + request.body
+        return b"".join(lines) + b"\r\n"
 
 
 def _connection_options(pairs: list[tuple[bytes, bytes]]) -> set[bytes]:
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -12,6 +12,8 @@
 import greenlet
 
 from zinniadyke import directory
+from zinniadyke.gateway import _caller_writer
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _request_parser
 
@@ -23,8 +25,9 @@
 # Time to drain the caller's remaining bytes after the last response; closing
 # with unread bytes would reset the connection and lose the response.
 LINGER_S = 1.0
-# Limit on one write to a caller that does not read.
-WRITE_TIMEOUT_S = 10.0
+# The same after a refusal whose body was not read and may still be on its way
+# over a slow link.
+REFUSED_LINGER_S = 5.0
 # Lower bound of read timeouts, so that pending bytes are read even if the
 # limit has passed.
 MIN_TIMEOUT_S = 0.001
@@ -45,6 +48,8 @@
     ----------
     handle_request
         Called with each request and this connection; writes the response.
+    memory
+        Account for what the connection holds.
 
     Attributes
     ----------
@@ -66,12 +71,20 @@
         sock: socket.socket,
         limits: directory.CallerLimits,
         handle_request: Callable,
+        memory: _memory_budget.MemoryBudget,
     ) -> None:
         """Prepare to serve an accepted connection."""
         self.sock = sock
         self.limits = limits
         self.handle_request = handle_request
-        self.parser = _request_parser.RequestParser(limits=limits)
+        self.memory = memory
+        self.parser = _request_parser.RequestParser(
+            limits=limits, memory=memory
+        )
+        self.writer = _caller_writer.CallerWriter(
+            sock=sock, memory=memory, on_gone=self._mark_disconnected
+        )
+        self.linger_s = LINGER_S
         self.requests: queue.LightQueue = queue.LightQueue(
             MAX_PIPELINED_REQUESTS
         )
@@ -96,6 +109,7 @@
                     self._respond(request)
                 finally:
                     self.responding = False
+                    self._give_back(request)
             self._linger(reader)
         except CallerDisconnectedError:
             pass
@@ -103,6 +117,8 @@
             LOG.debug("caller connection lost", extra={"reason": str(error)})
         finally:
             reader.kill()
+            self.writer.close()
+            self.memory.give_back(self.memory.held)
             self.sock.close()
 
     def close_if_idle(self) -> None:
@@ -154,8 +170,16 @@
         self._send(head + b"\r\n" + self._encode_part(first))
 
     def send_part(self, part: bytes) -> None:
-        """Write a part of a streamed response."""
-        self._send(self._encode_part(part))
+        """Write a part of a streamed response.
+
+        Waits while too much is kept for a caller that reads slowly.
+        """
+        data = self._encode_part(part)
+        try:
+            self.writer.wait_for_room(len(data))
+        except _caller_writer.CallerGoneError as error:
+            raise CallerDisconnectedError(str(error))
+        self._send(data)
 
     def end_stream(self) -> None:
         """Mark a streamed response as complete."""
@@ -163,11 +187,28 @@
             self._send(b"0\r\n\r\n")
 
     def abort(self) -> None:
-        """Close the connection so that the response looks incomplete."""
+        """Close the connection so that the response looks incomplete.
+
+        What was ready before is delivered first.
+        """
+        self.flush()
         self.close_after_response = True
         self.disconnected = True
         self._shut_down_socket(socket.SHUT_RDWR)
 
+    def flush(self) -> None:
+        """Wait until the caller has taken the response.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            The caller left or takes nothing.
+        """
+        try:
+            self.writer.flush()
+        except _caller_writer.CallerGoneError as error:
+            raise CallerDisconnectedError(str(error))
+
     def _encode_part(self, part: bytes) -> bytes:
         if not part:
             return b""
@@ -181,7 +222,10 @@
         if isinstance(request, _request.RejectedRequest):
             self.close_after_response = True
             self.send_response(request.status, [], request.reason.encode())
+            self.flush()
             return
+        if request.refusal is not None:
+            self.linger_s = REFUSED_LINGER_S
         if not request.keep_alive:
             self.close_after_response = True
         self.handle_request(request, self)
@@ -190,11 +234,15 @@
         if self.disconnected:
             raise CallerDisconnectedError
         try:
-            with eventlet.Timeout(WRITE_TIMEOUT_S, CallerDisconnectedError):
-                self.sock.sendall(data)
-        except OSError as error:
+            self.writer.write(data)
+        except _caller_writer.CallerGoneError as error:
             raise CallerDisconnectedError(str(error))
 
+    def _give_back(self, request) -> None:
+        """Stop counting the body of a request that has ended."""
+        if isinstance(request, _request.CallerRequest):
+            self.memory.give_back(len(request.body))
+
     def _read(self) -> None:
         try:
             while not self.parser.ended:
@@ -261,7 +309,7 @@
 
     def _linger(self, reader) -> None:
         self._shut_down_socket(socket.SHUT_WR)
-        with eventlet.Timeout(LINGER_S, False):
+        with eventlet.Timeout(self.linger_s, False):
             reader.wait()
 
     def _shut_down_socket(self, how: int) -> None:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -19,6 +19,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -63,9 +64,11 @@
         regions: Mapping[str, str],
         bounds: settings.BoundsSection,
         crash_guard: _crash_guard.CrashGuard,
+        memory: _memory_budget.ProcessMemory,
     ) -> None:
         """Admit waiting requests whenever the directory changes."""
         self.bounds = bounds
+        self.memory = memory
         self.view = view
         self.target_table = target_table
         self.zone_penalty = zone_penalty
@@ -176,6 +179,7 @@
             call=call,
             state=state,
             last_event_id=relay.last_event_id,
+            answers=self.memory.answers,
         )
 
     def _record_leaving(self, attempt: _attempt.Attempt) -> None:
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -14,10 +14,12 @@
 from zinniadyke.gateway import _call_builder
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _caller_wait
+from zinniadyke.gateway import _caller_writer
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _forward
 from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _load_listener
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _target_table
@@ -44,6 +46,8 @@
 ACCEPT_RETRY_S = 0.05
 NOT_READY_RETRY_S = 0.3
 MS_PER_S = 1000.0
+# Interval of the gauge of held bytes.
+MEMORY_REPORT_S = 1.0
 # Part of the time to notice a leaving target for which changes of
 # registrations are gathered, as every call to the store has a price.
 TARGETS_BATCH_SHARE = 0.25
@@ -99,6 +103,9 @@
             regions=regions,
             target_table=self.target_table,
         )
+        self.memory = _memory_budget.ProcessMemory(
+            memory_mb=loaded.host.memory_mb
+        )
         self.forwarder = _forward.Forwarder(
             view=self.view,
             target_table=self.target_table,
@@ -106,6 +113,7 @@
             regions=regions,
             bounds=loaded.bounds,
             crash_guard=self.crash_guard,
+            memory=self.memory,
         )
         self.load_listener = _load_listener.LoadListener(
             name=loaded.host.name,
@@ -139,7 +147,7 @@
         """Start the background tasks, which run until :meth:`close`."""
         tasks = [follower.run for follower in self.followers]
         tasks += [self.load_listener.subscribe, self.load_listener.receive]
-        tasks += [self._serve_ready, self._accept]
+        tasks += [self._serve_ready, self._accept, self._report_memory]
         self.tasks = [eventlet.spawn(task) for task in tasks]
 
     def shut_down(self) -> bool:
@@ -168,6 +176,13 @@
             sock.close()
         self.load_listener.sock.close()
 
+    def _report_memory(self) -> None:
+        while True:
+            telemetry.gauge(
+                telemetry.Metric.HELD_BYTES, self.memory.total.held
+            )
+            eventlet.sleep(MEMORY_REPORT_S)
+
     def _accept(self) -> None:
         while True:
             try:
@@ -184,7 +199,10 @@
         if configuration is not None:
             limits = configuration.limits
         caller = _caller_connection.CallerConnection(
-            sock=sock, limits=limits, handle_request=self._handle_request
+            sock=sock,
+            limits=limits,
+            handle_request=self._handle_request,
+            memory=self.memory.open_connection(),
         )
         caller.close_after_response = False
         self.callers.add(caller)
@@ -205,11 +223,17 @@
         call = None
         code = errors.ResultCode.OK
         try:
+            if request.refusal is not None:
+                raise request.refusal
             self._check_accepting()
             call = _call_builder.build_call(
                 request, self.view.configuration, self.wait_estimator
             )
+            caller.writer.stall_s = _caller_writer.stall_s(
+                call.route.objective_s, call.route.max_gap_s
+            )
             self.forwarder.serve(call, caller)
+            caller.flush()
         except errors.RequestError as error:
             code = error.code
             self._send_error(request, caller, error)
@@ -264,6 +288,7 @@
         caller.send_response(
             error.code.status, fields, error.message.encode() + b"\n"
         )
+        caller.flush()
 
     def _log_request(
         self,
--- a/zinniadyke/gateway/_request.py
+++ b/zinniadyke/gateway/_request.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from zinniadyke import errors
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -23,6 +25,8 @@
         Path and query, as sent.
     arrived_at
         Monotonic time at which its first byte was read, in seconds.
+    refusal
+        Error to answer with, if the body was not read.
     keep_alive
         Whether the caller allows another request on the connection.
     """
@@ -34,6 +38,7 @@
     body: bytes
     keep_alive: bool
     arrived_at: float
+    refusal: errors.RequestError | None = None
 
     def header(self, name: str) -> str:
         """Return the first value of a header; empty if absent."""
--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -10,11 +10,17 @@
 
 import httptools
 
+from zinniadyke import decimal_text
 from zinniadyke import directory
+from zinniadyke import errors
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
 
 # Colon, space and CRLF of each header line.
 HEADER_OVERHEAD_BYTES = 4
+# Retry-After of a request whose body does not fit. Bodies are held for about
+# as long as requests take.
+OUT_OF_MEMORY_RETRY_S = 0.3
 
 
 class RequestParser:
@@ -35,9 +41,22 @@
         Whether no further bytes of the connection are parsed.
     """
 
-    def __init__(self, *, limits: directory.CallerLimits) -> None:
-        """Start at the beginning of a connection."""
+    def __init__(
+        self,
+        *,
+        limits: directory.CallerLimits,
+        memory: _memory_budget.MemoryBudget,
+    ) -> None:
+        """Start at the beginning of a connection.
+
+        Parameters
+        ----------
+        memory
+            Account for the bodies; who consumes a request gives the size of
+            its body back.
+        """
         self.limits = limits
+        self.memory = memory
         self.parser = httptools.HttpRequestParser(self)
         self.parsed: list[
             _request.CallerRequest | _request.RejectedRequest
@@ -90,17 +109,21 @@
         )
         if size > self.limits.max_header_bytes:
             self._reject_headers()
+        if not self.ended:
+            self._reserve(self._announced_bytes())
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
-                self.expects_continue = True
+                self.expects_continue = not self.ended
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (called by httptools)."""
         if self.ended:
             return
         self.expects_continue = False
-        self.body.append(body)
         self.body_bytes += len(body)
+        if not self._reserve(self.body_bytes):
+            return
+        self.body.append(body)
         if self.body_bytes > self.limits.max_body_bytes:
             self._reject(
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -111,6 +134,16 @@
         """Queue the complete request (called by httptools)."""
         if self.ended:
             return
+        self._append_request()
+        self._reset()
+
+    def time_out(self) -> None:
+        """Reject the current request because it arrives too slowly."""
+        self._reject(http.HTTPStatus.REQUEST_TIMEOUT, "the request is slow")
+
+    def _append_request(
+        self, refusal: errors.RequestError | None = None
+    ) -> None:
         self.parsed.append(
             _request.CallerRequest(
                 method=self.parser.get_method().decode("ascii"),
@@ -118,21 +151,45 @@
                 http_1_1=self.parser.get_http_version() == "1.1",
                 headers=self.headers,
                 body=b"".join(self.body),
-                keep_alive=self.parser.should_keep_alive(),
+                keep_alive=refusal is None and self.parser.should_keep_alive(),
                 arrived_at=self.reading_since or time.monotonic(),
+                refusal=refusal,
             )
         )
-        self._reset()
 
-    def time_out(self) -> None:
-        """Reject the current request because it arrives too slowly."""
-        self._reject(http.HTTPStatus.REQUEST_TIMEOUT, "the request is slow")
+    def _announced_bytes(self) -> int:
+        """Return the length that the header states, if it is allowed."""
+        text = _request.find_header(self.headers, "content-length")
+        size = decimal_text.parse_count(text)
+        if size is None or size > self.limits.max_body_bytes:
+            return 0
+        return size
+
+    def _reserve(self, size: int) -> bool:
+        """Count a body of a size; refuse the request if it does not fit."""
+        more = max(size - self.reserved_bytes, 0)
+        if self.memory.take(more):
+            self.reserved_bytes += more
+            return True
+        self.ended = True
+        self.body.clear()
+        self.memory.give_back(self.reserved_bytes)
+        self.reserved_bytes = 0
+        self._append_request(
+            errors.RequestError(
+                code=errors.ResultCode.OUT_OF_MEMORY,
+                retry_after_s=OUT_OF_MEMORY_RETRY_S,
+            )
+        )
+        return False
 
     def _reset(self) -> None:
         self.target = b""
         self.headers: _request.Headers = []
         self.body: list[bytes] = []
         self.body_bytes = 0
+        # Counted in the memory account for the body.
+        self.reserved_bytes = 0
         self.head_bytes = 0
         self.in_body = False
         self.expects_continue = False
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -241,6 +241,9 @@
 
     def _relay_response(self, attempt: _attempt.Attempt, body: bytes) -> None:
         response = attempt.connection
+        # The body counts for the caller's connection from here on, and the
+        # target need not wait for the caller.
+        attempt.close()
         if response.framing is _target_connection.Framing.BODILESS:
             self.caller.send_bodiless(response.status, response.headers)
             return
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -16,7 +16,9 @@
 from eventlet import hubs
 import httptools
 
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _send_progress
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -32,8 +34,9 @@
 # Framing (chunk sizes, extensions, trailers) allowed beyond MAX_HEAD_BYTES,
 # as a multiple of the body; a chunk of one byte has five more.
 MAX_FRAMING_RATIO = 16
-# Bodies that all connections of the process hold together.
-MAX_BUFFERED_BYTES = 32 << 20
+# Request bodies above this size are sent apart from the head, which saves a
+# copy; below it, one packet has both.
+MAX_JOINED_BYTES = 16384
 
 
 class BrokenResponseError(Exception):
@@ -48,35 +51,6 @@
     """No connection was established, so nothing was sent."""
 
 
-class BufferedBytes:
-    """Counts the bytes of the bodies that all connections hold.
-
-    Attributes
-    ----------
-    held
-        Number of bytes.
-    """
-
-    def __init__(self, *, limit: int) -> None:
-        """Start with nothing held."""
-        self.limit = limit
-        self.held = 0
-
-    def take(self, size: int) -> bool:
-        """Count bytes; return False if that exceeds the limit."""
-        if self.held + size > self.limit:
-            return False
-        self.held += size
-        return True
-
-    def give_back(self, size: int) -> None:
-        """Stop counting bytes."""
-        self.held -= size
-
-
-BUFFERED_BYTES = BufferedBytes(limit=MAX_BUFFERED_BYTES)
-
-
 class Framing(enum.Enum):
     """How the end of a response is determined."""
 
@@ -95,14 +69,23 @@
         Status of the response; 0 before it is known.
     sent
         Whether a byte of the request may have reached the target.
+    answers
+        Budget for the body of the response.
     head_complete
         Whether the final status and all headers were read.
     complete
         Whether the complete body was read.
     """
 
-    def __init__(self, *, address: str, method: str) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        method: str,
+        answers: _memory_budget.MemoryBudget,
+    ) -> None:
         """Prepare the request; :meth:`connect` opens the connection."""
+        self.answers = answers
         self.address = address
         self.method = method
         self.sock: socket.socket | None = None
@@ -141,18 +124,52 @@
             raise
         self.sock = sock
 
-    def send(self, data: bytes, timeout_s: float) -> None:
+    def send(
+        self, head: bytes, body: bytes, stall_s: float, timeout_s: float
+    ) -> None:
         """Send the complete request.
 
+        Load: targets that are slow or frozen do not take a request's body.
+
+        Parameters
+        ----------
+        stall_s
+            Longest time in which the target takes nothing, in seconds.
+        timeout_s
+            Time by which the target must have taken everything, in seconds.
+
         Raises
         ------
+        SilentTargetError
+            The target did not take the request in time.
         BrokenResponseError
-            The connection broke; the target may have received the request.
+            The connection broke. The target may have received the request
+            if ``sent`` is set.
         """
-        self.sent = True
-        self.sock.settimeout(max(timeout_s, 0.001))
+        deadline = time.monotonic() + timeout_s
+        pieces = [head, body]
+        if len(body) <= MAX_JOINED_BYTES:
+            pieces = [head + body]
+        for piece in pieces:
+            rest = memoryview(piece)
+            while rest:
+                count = self._send_some(rest)
+                if count:
+                    self.sent = True
+                    rest = rest[count:]
+                elif not _send_progress.wait_writable(
+                    self.sock.fd, stall_s, deadline - time.monotonic()
+                ):
+                    raise SilentTargetError(
+                        "the target does not take the request"
+                    )
+
+    def _send_some(self, data: memoryview) -> int:
+        """Send what the kernel accepts now; return the number of bytes."""
         try:
-            self.sock.sendall(data)
+            return self.sock.fd.send(data)
+        except BlockingIOError:
+            return 0
         except OSError as error:
             raise BrokenResponseError(f"send: {error}")
 
@@ -220,7 +237,7 @@
             self.sock.close()
             self.sock = None
         self.parts.clear()
-        BUFFERED_BYTES.give_back(self.buffered_bytes)
+        self.answers.give_back(self.buffered_bytes)
         self.buffered_bytes = 0
 
     def shut_down(self) -> None:
@@ -236,7 +253,7 @@
         """Account for the body held here; break off one without end."""
         if self.body_bytes > MAX_BODY_BYTES:
             raise _over_limit("body", self.address)
-        if not BUFFERED_BYTES.take(self.body_bytes - self.buffered_bytes):
+        if not self.answers.take(self.body_bytes - self.buffered_bytes):
             raise _over_limit("bodies of the process", self.address)
         self.buffered_bytes = self.body_bytes
 
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -42,6 +42,8 @@
     PROMPT_PARTS_REFUSED = "prompt_parts_refused"
     # Requests that were found to crash targets, equal ones once.
     CONTENTS_REFUSED = "contents_refused"
+    # Bytes that an entry holds for callers and targets.
+    HELD_BYTES = "held_bytes"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
