--- a/zinniadyke/ui/_demo_command.py
+++ b/zinniadyke/ui/_demo_command.py
@@ -1,5 +1,6 @@
 """``zinniadyke demo``."""
 
+import importlib.resources
 import json
 import pathlib
 
@@ -10,7 +11,10 @@
 from zinniadyke import errors
 from zinniadyke import language
 
-DEFAULT_EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+# Data of the package, so that an installed wheel has it.
+DEFAULT_EXAMPLES = importlib.resources.files("zinniadyke").joinpath(
+    "demo", "deployments"
+)
 
 
 class DemoCommand(Command):
@@ -61,7 +65,7 @@
         examples = self.option("examples") or DEFAULT_EXAMPLES
         return demo.DemoOptions(
             deployment=deployment,
-            examples=pathlib.Path(examples),
+            examples=pathlib.Path(str(examples)),
             size=size,
             seed=seed,
             rate=rate,
