--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -9,6 +9,7 @@
 from zinniadyke import platform
 from zinniadyke import settings
 from zinniadyke import sidecar
+from zinniadyke.sidecar import _load_reporter
 from zinniadyke.sidecar import _peer_client
 from zinniadyke.sidecar import _pieces
 
@@ -242,6 +243,29 @@
         made.check_loads()
 
 
+def test_order_is_not_repeated_while_reports_come_late(monkeypatch):
+    """An order is repeated if its effect is looked up in an old report.
+
+    The answer of the order is lost, and the next periodic report comes after
+    the retry, as when its call takes long on a busy host.
+    """
+    monkeypatch.setattr(_load_reporter, "report_interval_s", lambda _: 2.0)
+    with fleet(1) as made:
+        (server,) = made.servers.values()
+        (agent,) = made.agents.values()
+        reporter = agent.weights_updater.reporter
+        assert deploy.wait_until(lambda: reporter.latest is not None)
+        server.lose_answers = 1
+        made.name(2)
+        assert made.all_hold(2)
+        assert deploy.wait_until(
+            lambda: reporter.latest.weights == {MODEL: 2}, timeout_s=1.0
+        )
+        eventlet.sleep(0.5)
+        assert server.order_count == 1
+        made.check_loads()
+
+
 def test_superseded_version_is_dropped():
     with fleet(1, 1) as made:
         made.name(2)
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -299,6 +299,10 @@
         """Order a load and wait for it; return whether it succeeded."""
         layers = self._layers()
         before = self.target.report(layers)
+        self.reporter.publish_report(before)
+        if before.weights.get(model) == version:
+            # An order whose answer was lost has loaded it.
+            return True
         if before.order_in_progress:
             return False
         self.reporter.announce_switch()
