--- a/tests/peers/test_connection.py
+++ b/tests/peers/test_connection.py
@@ -36,6 +36,38 @@
             waiting.wait()
 
 
+def starve_process():
+    """Make each turn of the event loop take long, as on a busy host."""
+    while True:
+        block_process(0.3)
+        eventlet.sleep(0)
+
+
+def test_starved_process_does_not_take_a_peer_for_silent():
+    """An answer needs several turns, of which no single one is very late."""
+    context = zmq.Context()
+    server = peers.PeerServer(context=context, address="127.0.0.1:0")
+    server.register_handler(
+        peers.GetStatus, lambda inbound: inbound.reply(peers.GetStatus())
+    )
+    server.start()
+    connection = peers.PeerConnection(context=context, address=server.address)
+    connection.send_and_receive(peers.GetStatus(), 2.0)
+    starving = eventlet.spawn(starve_process)
+    try:
+        for _ in range(5):
+            connection.send_and_receive(peers.GetStatus(), 0.5)
+        # A silent peer is noticed all the same.
+        server.handlers[peers.GetStatus] = lambda inbound: None
+        with pytest.raises(errors.PeerTimeoutError):
+            connection.send_and_receive(peers.GetStatus(), 0.5)
+    finally:
+        starving.kill()
+        connection.close()
+        server.stop()
+        context.destroy(linger=0)
+
+
 def test_killed_close_leaves_no_open_socket():
     """A task that is killed while it closes a connection closes the socket.
 
--- a/zinniadyke/peers/_connection.py
+++ b/zinniadyke/peers/_connection.py
@@ -16,8 +16,14 @@
 CALL_ID = struct.Struct(">Q")
 RECONNECT_MS = 200
 RECONNECT_MAX_MS = 2000
+# Lateness of a timer that shows that this process did not run.
 PROCESS_STALL_S = 0.1
+# Wait after a timeout that looks for such lateness.
+STALL_PROBE_S = 0.01
+# Further wait after a stall. It is split, since a message and its answer need
+# several turns of the event loop, and each may take long on a busy host.
 STALL_GRACE_S = 0.5
+STALL_GRACE_TURNS = 10
 
 NO_ANSWER = object()
 
@@ -45,13 +51,16 @@
             No answer came within ``timeout_s`` seconds, or the connection
             was closed or its peer declared unreachable.
         """
-        started_at = time.monotonic()
         timeout_s = max(timeout_s, 0)
+        deadline = time.monotonic() + timeout_s
         item = self._next_answer(timeout_s)
-        overdue_s = time.monotonic() - started_at - timeout_s
-        if item is NO_ANSWER and overdue_s > PROCESS_STALL_S:
+        if item is NO_ANSWER:
+            item = self._next_answer(STALL_PROBE_S)
+        if item is NO_ANSWER and (
+            time.monotonic() > deadline + STALL_PROBE_S + PROCESS_STALL_S
+        ):
             # This process was stalled; an answer may be waiting unread.
-            item = self._next_answer(STALL_GRACE_S)
+            item = self._next_answer_after_stall()
         if item is NO_ANSWER:
             raise errors.PeerTimeoutError(
                 "no answer from the peer before the timeout"
@@ -62,6 +71,13 @@
             )
         return item
 
+    def _next_answer_after_stall(self):
+        for _ in range(STALL_GRACE_TURNS):
+            item = self._next_answer(STALL_GRACE_S / STALL_GRACE_TURNS)
+            if item is not NO_ANSWER:
+                return item
+        return NO_ANSWER
+
     def _next_answer(self, timeout_s: float):
         try:
             return self.answers.get(timeout=timeout_s)
