--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -107,7 +107,7 @@
         Region of each zone.
     """
 
-    def __init__(self, regions=None, **bounds):
+    def __init__(self, regions=None, memory_mb=0.0, **bounds):
         self.store = fakes.FakeStore()
         self.targets = []
         self.gateway = gateway.Gateway(
@@ -122,6 +122,7 @@
                     ],
                     ip="127.0.0.1",
                     ports=(free_port(), 0),
+                    memory_mb=memory_mb,
                 ),
                 store=settings.StoreSection(address=self.store.address),
                 listen=settings.ListenSection(
--- a/tests/gateway/test_allowed_regions.py
+++ b/tests/gateway/test_allowed_regions.py
@@ -13,6 +13,7 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _forward
+from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _target_table
 from zinniadyke import ids
 from zinniadyke import settings
@@ -161,6 +162,7 @@
             crash_guard=_crash_guard.CrashGuard(
                 name="e", region="r1", regions=REGIONS, target_table=table
             ),
+            memory=_memory_budget.ProcessMemory(memory_mb=0.0),
         )
         self.admission = forwarder._admission("s")
         self.states = [self.admission.acquire(self.call()) for _ in REGIONS]
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -48,6 +48,8 @@
     CALLERS_RETURNED = "callers_returned"
     # Requests that wait for a slot although they miss their objective.
     LATE_WAITS = "late_waits"
+    # Bytes that an entry holds for callers and targets.
+    HELD_BYTES = "held_bytes"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
