--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -278,6 +278,30 @@
         assert system.ask("/once/x", body=b"x")[0] == 503
 
 
+def test_failed_answers_are_dropped_when_the_call_goes_on_or_ends():
+    """They are kept while a retry waits, and the last one is relayed."""
+    bodies = [b"1" * MB, b"2" * MB]
+    held = []
+
+    with deploy.deployment(spec=SPEC) as system:
+
+        def fail(exchange):
+            held.append(system.gateway.memory.total.held)
+            exchange.answer(500, bodies.pop(0))
+
+        for _ in range(2):
+            system.add_target(fail)
+        names = {t.name for t in system.targets}
+        assert deploy.wait_until(
+            lambda: names <= set(system.gateway.view.targets or {})
+        )
+        status, _, body, _ = system.ask("/again/x")
+        assert (status, body) == (500, b"2" * MB)
+        # The first one is dropped when the retry is sent.
+        assert held == [0, 0]
+        assert free_again(system)
+
+
 def head(framing):
     return b"POST / HTTP/1.1\r\nHost: h\r\n" + framing + b"\r\n\r\n"
 
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -53,6 +53,8 @@
         self.last_event_id = call.last_event_id
         self.streaming = False
         self.may_have_run = False
+        # Attempt whose failed response may be the call's result.
+        self.failed: _attempt.Attempt | None = None
         self.start_timeout_s = float("inf")
         self.can_resume: Callable[[_call.Call], bool] = lambda call: True
 
@@ -64,6 +66,7 @@
         start_timeout_s
             Time within which the target must start the request, in seconds.
         """
+        self._drop_failed_body()
         self.start_timeout_s = start_timeout_s
         self._run_attempt(attempt)
         if attempt.outcome in (_call.Outcome.BROKEN, _call.Outcome.FAILED):
@@ -87,6 +90,8 @@
             or self.streaming
         ):
             attempt.mark_failed(body)
+            self.failed = attempt
+            self.caller.memory.hold(len(body))
             return
         self._relay_response(attempt, body)
         attempt.outcome = _call.Outcome.ANSWERED
@@ -99,6 +104,19 @@
         RequestError
             The final result; nothing was sent to the caller.
         """
+        try:
+            self._end_with(attempt)
+        finally:
+            self._drop_failed_body()
+
+    def _drop_failed_body(self) -> None:
+        """Drop a failed response, which was kept while a retry waited."""
+        if self.failed is not None:
+            self.caller.memory.give_back(len(self.failed.failed_body))
+            self.failed.failed_body = b""
+            self.failed = None
+
+    def _end_with(self, attempt: _attempt.Attempt) -> None:
         if self.streaming:
             LOG.info("stream aborted", extra={"request": self.call.id})
             self.caller.abort()
