--- a/tests/gateway/test_token_borrower.py
+++ b/tests/gateway/test_token_borrower.py
@@ -58,6 +58,7 @@
     made = clock.Clock()
     for module in (_token_borrower, _token_holder):
         monkeypatch.setattr(module.time, "monotonic", made.monotonic)
+        monkeypatch.setattr(module.uptime, "now_s", made.now_s)
     return made
 
 
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -6,12 +6,14 @@
 import time
 
 from zinniadyke.gateway import _call
+from zinniadyke.gateway import _cold_source
 from zinniadyke.gateway import _target_connection
 from zinniadyke.gateway import _target_state
 from zinniadyke import platform
 from zinniadyke.platform import headers
 from zinniadyke import requests
 from zinniadyke import telemetry
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -20,6 +22,9 @@
 # A healthy target accepts within a few milliseconds; a lost SYN would be
 # retransmitted only after a second.
 CONNECT_TIMEOUT_S = 0.3
+# A connection that took longer outlasted a suspension of this process; the
+# target may have become cold meanwhile.
+MAX_PREPARATION_S = 0.5
 # Time beyond the deadline for the response to arrive, as the target itself
 # ends overdue requests at the deadline that it received.
 RESPONSE_GRACE_S = 0.15
@@ -111,6 +116,11 @@
         self.on_leaving: Callable[[Attempt], None] = lambda attempt: None
         self.on_writing: Callable[[Attempt], None] = lambda attempt: None
         self.started_at = time.monotonic()
+        self.prepared_at = uptime.now_s()
+        # The token of this request was taken last: nothing else has run since.
+        self.token_until = (
+            state.tokens.taken_until if state.tokens else float("-inf")
+        )
 
     def begin(self, response_timeout_s: float) -> None:
         """Send the request and read the head of the response."""
@@ -124,6 +134,11 @@
         if self.state.closed or self.state.target.leaving:
             self._finish(_call.Outcome.NOT_RUN, "the target has closed")
             return
+        if not self._may_send():
+            # Says nothing about the target.
+            self.withdrawn = True
+            self._finish(_call.Outcome.NOT_RUN, "the token has expired")
+            return
         try:
             self.connection.send(self._encode_request(), remaining_s)
             self.connection.read_head(
@@ -139,6 +154,7 @@
         self._record_retry_after()
         self._check_head()
         self._record_limit()
+        self._record_cold()
         if self.connection.header(headers.LEAVING) == "1":
             self.on_leaving(self)
 
@@ -270,6 +286,29 @@
         elif not text:
             self.state.record_no_limit(self.started_at)
 
+    def _may_send(self) -> bool:
+        """Whether the request may reach a target that is or may be cold.
+
+        Load: entries that were suspended after they had chosen the target,
+        and connections that open late.
+        """
+        if self.state.cold_limit is None:
+            return True
+        now = uptime.now_s()
+        if self.state.limited_as_cold:
+            return now <= self.token_until
+        return now <= self.prepared_at + MAX_PREPARATION_S
+
+    def _record_cold(self) -> None:
+        """Record for how long the target says that it is cold."""
+        if self.outcome is _call.Outcome.BROKEN or self.misdirected:
+            return
+        cold_s = platform.parse_cold(
+            self.connection.header(headers.COLD_MS), self.connection.address
+        )
+        if cold_s is not None:
+            self.state.record_cold(cold_s, _cold_source.ColdSource.ANSWER)
+
     def _record_retry_after(self) -> None:
         """Send the target nothing for the time that its 503 asks for."""
         if self.connection.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -19,6 +19,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -84,6 +85,7 @@
 
     def admit_waiting(self) -> None:
         """Admit waiting requests of all services to free slots."""
+        self.target_table.update_limits()
         for admission in self.admissions.values():
             admission.admit_waiting()
 
@@ -108,7 +110,9 @@
         first = attempt = None
         while True:
             try:
+                self.target_table.update_limits()
                 if attempt is None:
+                    self._await_cold_token(call, admission)
                     state = admission.acquire(call)
                 else:
                     state = admission.acquire_for_retry(call)
@@ -148,6 +152,29 @@
                 relay.give_up(attempt)
                 return
 
+    def _await_cold_token(
+        self, call: _call.Call, admission: _admission.Admission
+    ) -> None:
+        """Wait a moment for a token if the best target for a call is cold."""
+        if call.service not in self.target_table.cold_limits:
+            return
+        candidates = self.target_table.candidates(call.scope, call.tried)
+        if len(admission.queue) or not any(
+            s.limited_as_cold for s in candidates
+        ):
+            return
+        engine = self.target_table.has_engine(call.service)
+        preferred = _placement.choose_target(
+            candidates,
+            self.zone_penalty,
+            lambda s: not engine or s.free_slots > 0,
+            mean_response_s=admission.mean_response_s,
+        )
+        if preferred is None or not preferred.limited_as_cold:
+            return
+        if not preferred.within_limit:
+            self.token_borrower.await_token(preferred)
+
     def _check_suspects(
         self,
         call: _call.Call,
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from zinniadyke import platform
 from zinniadyke.platform import headers
 from zinniadyke import reports
+from zinniadyke import requests
 from zinniadyke import settings
 from zinniadyke import telemetry
 
@@ -92,6 +93,9 @@
                 regions=regions,
             ),
             regions=regions,
+            make_cold_limit=functools.partial(
+                _cold_limit, bounds=loaded.bounds
+            ),
         )
         self.crash_guard = _crash_guard.CrashGuard(
             name=loaded.host.name,
@@ -331,6 +335,17 @@
         return [b""]
 
 
+def _cold_limit(
+    service: directory.Service, *, bounds: settings.BoundsSection
+) -> requests.ColdLimit | None:
+    return requests.make_cold_limit(
+        cold_per_s=service.cold_per_s,
+        cold_s=service.cold_s,
+        overage=bounds.cold_overage,
+        slack=bounds.cold_slack,
+    )
+
+
 def _ms_between(start: float, end: float) -> int:
     return math.ceil((end - start) * MS_PER_S)
 
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket as green_socket
 
 from zinniadyke import directory
+from zinniadyke.gateway import _cold_source
 from zinniadyke.gateway import _target_table
 from zinniadyke import reports
 from zinniadyke import uptime
@@ -129,6 +130,10 @@
         for state in self.target_table.by_address.get(report.address, ()):
             target = state.target
             if _starts_differ(report.born_ms, target.born_ms):
+                if report.born_ms > target.born_ms:
+                    # Requests to this start may reach the next one, if that
+                    # keeps its id.
+                    state.record_restart(report.cold_ms / MS_PER_S or None)
                 continue
             state.agent_reported_at = time.monotonic()
             if report.sent_ms:
@@ -146,6 +151,9 @@
             )
             state.weights = report.weights
             state.record_agent_limit(report.limit_per_s)
+            state.record_cold(
+                report.cold_ms / MS_PER_S, _cold_source.ColdSource.AGENT
+            )
             if report.leaving:
                 leaving.append(target)
             self.on_report()
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -5,8 +5,10 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _cold_source
 from zinniadyke.gateway import _report_delay
 from zinniadyke.gateway import _token_holder
+from zinniadyke import requests
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -63,8 +65,15 @@
     limit_per_s
         Requests a second that the target takes from all entries together;
         None if it names no limit.
+    cold_limit
+        Limit of the target while it is cold; None if it has none.
+    cold_ends
+        Monotonic time until which the target is cold, as each source said.
+    registered_cold_s
+        Time for which the registration says that it is cold.
     tokens
-        Tokens for requests under that limit; None if it names no limit.
+        Tokens for requests under the lower of both limits; None without one.
+        They change only in ``update_limit`` and methods that call it.
     limit_named_at
         Monotonic time at which it was last named.
     agent_names_limit
@@ -105,6 +114,9 @@
         self.replaced_until = float("-inf")
         self.closed_until = float("-inf")
         self.limit_per_s: float | None = None
+        self.cold_limit: requests.ColdLimit | None = None
+        self.cold_ends: dict[_cold_source.ColdSource, float] = {}
+        self.registered_cold_s: float | None = None
         self.tokens: _token_holder.TokenHolder | None = None
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
@@ -156,12 +168,7 @@
         if limit_per_s == self.limit_per_s:
             return
         self.limit_per_s = limit_per_s
-        if limit_per_s is None:
-            self.tokens = None
-        elif self.tokens is None:
-            self.tokens = _token_holder.TokenHolder(limit_per_s=limit_per_s)
-        else:
-            self.tokens.limit_per_s = limit_per_s
+        self.update_limit()
         LOG.info(
             "target limits requests",
             extra={
@@ -175,6 +182,76 @@
             telemetry.Metric.TARGET_LIMITS, label=self.target.service
         )
 
+    def set_cold_limit(self, limit: requests.ColdLimit | None) -> None:
+        """Set the limit that holds while the target is cold."""
+        if limit != self.cold_limit:
+            self.cold_limit = limit
+            self.update_limit()
+
+    def record_cold(
+        self, seconds: float, source: _cold_source.ColdSource
+    ) -> None:
+        """Record for how long the target is cold; 0 if it is not.
+
+        A source replaces what it said before; the latest end of all holds.
+        """
+        self.cold_ends[source] = time.monotonic() + seconds
+        if self.cold_limit is not None:
+            self.update_limit()
+
+    def record_restart(self, cold_s: float | None) -> None:
+        """Record that the target has started again during traffic.
+
+        Parameters
+        ----------
+        cold_s
+            Time for which it says that it is cold; None if it does not say.
+        """
+        if cold_s is None and self.cold_limit is not None:
+            cold_s = self.cold_limit.restart_s
+        if cold_s:
+            self.record_cold(cold_s, _cold_source.ColdSource.RESTART)
+
+    def update_limit(self) -> None:
+        """Apply the lower of the named limit and the one of a cold target.
+
+        The latter begins and ends with time, so this is called before
+        targets are chosen.
+        """
+        was_cold = self.limited_as_cold
+        cold = self.cold_limit if self.may_be_cold else None
+        rate_per_s = self.limit_per_s
+        if cold is not None:
+            rate_per_s = min(
+                cold.rate_per_s,
+                float("inf") if rate_per_s is None else rate_per_s,
+            )
+        if rate_per_s is None:
+            self.tokens = None
+        elif self.tokens is None:
+            self.tokens = _token_holder.TokenHolder(
+                limit_per_s=rate_per_s, cold=cold
+            )
+        else:
+            self.tokens.set_limit(rate_per_s, cold)
+        if was_cold != self.limited_as_cold:
+            self._log_cold()
+
+    def _log_cold(self) -> None:
+        fields = {"target": self.target.id, "service": self.target.service}
+        if not self.limited_as_cold:
+            LOG.info("target is no longer cold", extra=fields)
+            return
+        source = _cold_source.ColdSource.SILENCE
+        if self.cold:
+            source = max(self.cold_ends, key=self.cold_ends.get)
+        fields["source"] = source.value
+        fields["s"] = round(max(self.cold_until - time.monotonic(), 0.0), 3)
+        LOG.info("target is cold", extra=fields)
+        telemetry.count(
+            telemetry.Metric.TARGETS_COLD, label=self.target.service
+        )
+
     def record_success(self) -> None:
         """Reset the failure count and end an ejection."""
         self.consecutive_failures = 0
@@ -210,8 +287,35 @@
         self.closed_until = other.closed_until
         self.limit_per_s = other.limit_per_s
         self.limit_named_at = other.limit_named_at
+        self.cold_limit = other.cold_limit
+        self.cold_ends = other.cold_ends
+        self.registered_cold_s = other.registered_cold_s
         self.tokens = other.tokens
 
+    @property
+    def cold_until(self) -> float:
+        """Monotonic time until which the target is cold."""
+        return max(self.cold_ends.values(), default=float("-inf"))
+
+    @property
+    def cold(self) -> bool:
+        """Whether the target has said that it is cold."""
+        return time.monotonic() < self.cold_until
+
+    @property
+    def may_be_cold(self) -> bool:
+        """Whether the target is cold, or may be and this entry cannot know.
+
+        Load: entries that are cut off from an agent, or were suspended, while
+        its target restarts.
+        """
+        return self.cold or self.silent
+
+    @property
+    def limited_as_cold(self) -> bool:
+        """Whether the limit of a cold target is in force."""
+        return self.tokens is not None and self.tokens.cold is not None
+
     @property
     def silent(self) -> bool:
         """Whether the target's agent has stopped reporting."""
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -7,9 +7,11 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _cold_source
 from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _target_state
 from zinniadyke import ids
+from zinniadyke import requests
 from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
@@ -20,6 +22,8 @@
 # A request that has not started on older weights this long before the bound
 # is withdrawn and sent elsewhere.
 START_MARGIN_S = 0.2
+# Interval between checks whether targets are still cold.
+LIMITS_INTERVAL_S = 0.02
 # The limit of a target that is no longer listed is kept for this time.
 UNLISTED_LIMIT_S = 60.0
 
@@ -37,6 +41,9 @@
         uses; the others serve only while none of these does.
     regions
         Region of each availability zone.
+    make_cold_limit
+        Returns the limit of a service's targets while they are cold; None if
+        they have none.
 
     Attributes
     ----------
@@ -56,6 +63,9 @@
             [list[directory.Target]], list[directory.Target]
         ] = lambda targets: targets,
         regions: Mapping[str, str] | None = None,
+        make_cold_limit: Callable[
+            [directory.Service], requests.ColdLimit | None
+        ] = lambda service: None,
     ) -> None:
         """Load the targets of the directory and follow its changes."""
         self.view = view
@@ -72,6 +82,10 @@
         self.unlisted: dict[
             tuple[ids.TargetId, int], _target_state.TargetState
         ] = {}
+        self.make_cold_limit = make_cold_limit
+        self.cold_limits: dict[ids.ServiceName, requests.ColdLimit] = {}
+        self.limits_updated_at = float("-inf")
+        self.by_address: dict[str, list[_target_state.TargetState]] = {}
         view.on_change.append(self.refresh)
         self.refresh()
 
@@ -86,26 +100,60 @@
         ):
             return
         self.indexed_targets, self.indexed_services = targets, services
+        limits = {n: self.make_cold_limit(s) for n, s in services.items()}
+        self.cold_limits = {n: c for n, c in limits.items() if c is not None}
         for name in self.states.keys() - targets.keys():
             self._remember_unlisted(self.states.pop(name))
         latest_start_ms = _latest_starts_ms(targets.values())
         for name, target in targets.items():
-            state = self.states.get(name)
+            state = known = self.states.get(name)
             if state is None or (
                 state.target.incarnation != target.incarnation
             ):
-                state = _target_state.TargetState(target=target)
-                known = self.unlisted.pop(target.incarnation, None)
-                if known is not None:
-                    state.copy_restrictions(known)
+                state = self._make_state(target)
                 self.states[name] = state
             else:
                 state.target = target
+            state.set_cold_limit(self.cold_limits.get(target.service))
+            self._record_cold(state, known, target)
             self.states[name].outdated = (
                 0 < target.born_ms < latest_start_ms[target.address]
             )
         self._index()
 
+    def _make_state(
+        self, target: directory.Target
+    ) -> _target_state.TargetState:
+        state = _target_state.TargetState(target=target)
+        known = self.unlisted.pop(target.incarnation, None)
+        if known is not None:
+            state.copy_restrictions(known)
+        return state
+
+    def _record_cold(
+        self,
+        state: _target_state.TargetState,
+        known: _target_state.TargetState | None,
+        target: directory.Target,
+    ) -> None:
+        """Record for how long a registration says that its target is cold.
+
+        Parameters
+        ----------
+        known
+            State of the target's id before; another one after a restart.
+        """
+        cold_s = target.cold_remaining_s
+        if cold_s is not None and cold_s != state.registered_cold_s:
+            state.record_cold(cold_s, _cold_source.ColdSource.REGISTRATION)
+        state.registered_cold_s = cold_s
+        if state is known or cold_s is not None:
+            return
+        earlier = [known] if known is not None else []
+        earlier += self.by_address.get(target.address, ())
+        if any(s.target.born_ms < target.born_ms for s in earlier):
+            state.record_restart(None)
+
     def _index(self) -> None:
         self.by_address = {}
         by_service: dict[ids.ServiceName, list[directory.Target]] = {}
@@ -151,12 +199,25 @@
             incarnation: s
             for incarnation, s in self.unlisted.items()
             if s.closed
+            or s.cold
             or (
                 s.limit_per_s is not None
                 and now < s.unlisted_at + UNLISTED_LIMIT_S
             )
         }
 
+    def update_limits(self) -> None:
+        """Apply the limits of targets that are cold now, or no more."""
+        if not self.cold_limits:
+            return
+        now = time.monotonic()
+        if now < self.limits_updated_at + LIMITS_INTERVAL_S:
+            return
+        self.limits_updated_at = now
+        for service in self.cold_limits:
+            for state in self.used.get(service, ()):
+                state.update_limit()
+
     def is_current(self, state: _target_state.TargetState) -> bool:
         """Whether the target is still registered and not draining."""
         found = self.states.get(state.target.id)
@@ -175,12 +236,15 @@
         used = self.used.get(scope.service, [])
         found = self._able_targets(used, scope, tried, least, holds_weights)
         if not found:
+            others = [
+                s
+                for s in self.states.values()
+                if s.target.service == scope.service
+            ]
+            for state in others if self.cold_limits else ():
+                state.update_limit()
             found = self._able_targets(
-                [
-                    s
-                    for s in self.states.values()
-                    if s.target.service == scope.service
-                ],
+                others,
                 scope,
                 tried,
                 least,
--- a/zinniadyke/gateway/_token_borrower.py
+++ b/zinniadyke/gateway/_token_borrower.py
@@ -3,13 +3,23 @@
 from collections.abc import Callable
 import time
 
+from zinniadyke import directory
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
 from zinniadyke import ids
 from zinniadyke import rendezvous
 from zinniadyke import reports
+from zinniadyke import requests
+from zinniadyke import uptime
 
 MS_PER_S = 1000.0
+# Longest wait of a request for a token of the cold target that it would go to;
+# other targets can take it. An agent answers within a few milliseconds.
+COLD_WAIT_S = 0.025
+# Time for which such a request waits at the agent, so that a token that falls
+# due arrives while the request still waits.
+COLD_AGENT_WAIT_MS = 15
+AGENT_WAIT_MS = 200
 
 
 class TokenBorrower:
@@ -42,9 +52,37 @@
         self.send: Callable[[reports.Message, str], None] = (
             lambda message, host_ip: None
         )
+        self.answered = directory.Signal()
 
-    def request_token(self, state: _target_state.TargetState) -> None:
-        """Ask for a token, unless one is on its way."""
+    def await_token(self, state: _target_state.TargetState) -> None:
+        """Ask for a token of a cold target and wait a moment for it.
+
+        Load: a cold target without requests, which all entries prefer. Its
+        tokens expire before an entry with few requests gets the next one, so
+        the request that asks should use the token.
+        """
+        tokens = state.tokens
+        self.request_token(state, wait_ms=COLD_AGENT_WAIT_MS)
+        deadline = tokens.asked_at + COLD_WAIT_S
+        while tokens.awaits_answer and not (tokens.count or tokens.share):
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                return
+            self.answered.wait(remaining_s)
+
+    def request_token(
+        self,
+        state: _target_state.TargetState,
+        *,
+        wait_ms: int = AGENT_WAIT_MS,
+    ) -> None:
+        """Ask for a token, unless one is on its way.
+
+        Parameters
+        ----------
+        wait_ms
+            Time for which the request waits at the agent.
+        """
         tokens = state.tokens
         if time.monotonic() < tokens.ask_again_at:
             return
@@ -56,6 +94,9 @@
                     address=state.target.address,
                     born_ms=state.target.born_ms,
                     limit_per_s=tokens.limit_per_s,
+                    lifetime_ms=int(tokens.lifetime_s * MS_PER_S),
+                    wait_ms=wait_ms,
+                    asked_ms=_asked_ms(tokens.cold),
                 ),
                 lender,
             )
@@ -69,8 +110,12 @@
                 state.target.born_ms == answer.born_ms
             ):
                 state.tokens.record_answer(
-                    answer.granted, answer.next_in_ms / MS_PER_S
+                    answer.granted,
+                    answer.next_in_ms / MS_PER_S,
+                    lifetime_s=answer.lifetime_ms / MS_PER_S,
+                    lent_ms=answer.lent_ms,
                 )
+                self.answered.send()
                 self.on_answer(state.target.service)
 
     def _lender(self, state: _target_state.TargetState) -> str | None:
@@ -94,3 +139,11 @@
         if state.agent_reported_at is None:
             return self.count_entries()
         return state.entries
+
+
+def _asked_ms(cold: requests.ColdLimit | None) -> int:
+    """Return the uptime in ms for a request for a cold target's token.
+
+    Other tokens live long enough to count from their arrival.
+    """
+    return 0 if cold is None else int(uptime.now_s() * MS_PER_S)
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -243,11 +243,11 @@
         Time until this entry gets a token without asking again, in ms; 0
         with a granted one.
     lifetime_ms
-        Time for which a granted token is valid.
+        Time for which a granted token, or the answer, is valid.
     lent_ms
-        Uptime of the entry's host at which the token was lent, or shortly
-        before: ``asked_ms`` plus the time that the request has waited at
-        the agent. 0 if the entry did not say when it asked.
+        Uptime of the entry's host at the answer, or shortly before:
+        ``asked_ms`` plus the time that the request has waited at the
+        agent. 0 if the entry did not say when it asked.
     """
 
     address: str
--- a/zinniadyke/requests/__init__.py
+++ b/zinniadyke/requests/__init__.py
@@ -8,6 +8,7 @@
 from zinniadyke.requests._cold_limit import cold_share
 from zinniadyke.requests._cold_limit import ColdLimit
 from zinniadyke.requests._cold_limit import make_cold_limit
+from zinniadyke.requests._cold_limit import SHARE_LIFETIME_S
 from zinniadyke.requests._content import digest_content
 from zinniadyke.requests._crash_findings import CrashFindings
 from zinniadyke.requests._crash_ledger import CrashLedger
@@ -25,6 +26,7 @@
 
 __all__ = [
     "COLD_LIFETIME_S",
+    "SHARE_LIFETIME_S",
     "TOKEN_LIFETIME_S",
     "WRITING_AFTER_S",
     "Claim",
--- a/zinniadyke/requests/_cold_limit.py
+++ b/zinniadyke/requests/_cold_limit.py
@@ -15,8 +15,9 @@
 # Keeps a whole number of intervals from fitting into the time exactly.
 BELOW = 0.999
 # Part of the shares' rate that is used if an entry has less than one request
-# a second: random phases put up to twice the mean into one second.
-RANDOM_PHASE_PART = 0.5
+# a second: random phases put more than twice the mean of 8 into one second
+# in about one of 10,000 seconds.
+RANDOM_PHASE_PART = 0.4
 
 
 class ColdLimit(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,7 +74,7 @@
 
 
 def cold_share(
-    limit: ColdLimit, entries: int, now: float, max_rate_per_s: float
+    limit: ColdLimit, entries: int, start_at: float, max_rate_per_s: float
 ) -> _token_schedule.TokenSchedule | None:
     """Return an entry's share of a cold target's limit; None if it has none.
 
@@ -83,6 +84,8 @@
 
     Parameters
     ----------
+    start_at
+        Time of the first token, by the clock that is used for the schedule.
     max_rate_per_s
         Rate that the share of another limit allows.
     """
@@ -96,7 +99,7 @@
         rate_per_s = limit.shares_per_s * RANDOM_PHASE_PART / entries
     return _token_schedule.TokenSchedule(
         rate_per_s=min(rate_per_s, max_rate_per_s),
-        now=now,
+        now=start_at,
         keeps_phase=not whole,
         lifetime_s=0.0 if whole else COLD_LIFETIME_S,
     )
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 import socket
 import time
 
@@ -129,6 +130,14 @@
         self.consecutive_failures = 0
         if self.latest is None:
             LOG.info("target answers", extra={"orders": report.orders_begun})
+        was_cold = self.latest is not None and self.latest.cold_s > 0
+        if (report.cold_s > 0) != was_cold:
+            LOG.info(
+                "target is cold"
+                if report.cold_s
+                else "target is no longer cold",
+                extra={"address": self.address, "s": report.cold_s},
+            )
         self.latest = report
         self.on_serving(bool(report.weights))
         self._send_load_report(report, switching=report.order_in_progress)
@@ -156,6 +165,7 @@
                 local_entries=len(self.local_subscribers),
                 sent_ms=int(uptime.now_s() * MS_PER_S),
                 limit_per_s=report.limit_per_s,
+                cold_ms=math.ceil(report.cold_s * MS_PER_S),
             )
         )
 
@@ -203,12 +213,16 @@
         last = self.last_sent
         if last is None or (
             (last.switch_in_ms is None) != (report.switch_in_ms is None)
+            or bool(last.cold_ms) != bool(report.cold_ms)
+            # The target is cold for longer than it said.
+            or last.cold_ms < report.cold_ms
         ):
             return False
         return report == msgspec.structs.replace(
             last,
             named=report.named,
             switch_in_ms=report.switch_in_ms,
+            cold_ms=report.cold_ms,
             sent_ms=report.sent_ms,
         )
 
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -46,7 +46,9 @@
             refuses_connections=listening.refuses_connections,
             broadcast=self.reporter.broadcast,
         )
-        self.token_lender = _token_lender.TokenLender(send=self.reporter.send)
+        self.token_lender = _token_lender.TokenLender(
+            send=self.reporter.send, address=loaded.target.address
+        )
         self.reporter.handlers.update(
             {
                 reports.TokenRequest: self.token_lender.handle_request,
--- a/zinniadyke/sidecar/_token_lender.py
+++ b/zinniadyke/sidecar/_token_lender.py
@@ -28,6 +28,9 @@
 # Part of a short lifetime for which an unused token can still be lent; the
 # rest is left to the entry.
 LENDABLE_PART = 0.2
+# Time for which this agent lends no tokens of a cold target after it has taken
+# over: another agent may still lend some, or entries may use their shares.
+TAKEOVER_S = 1.0
 IDLE_CHECK_S = 1.0
 MS_PER_S = 1000.0
 
@@ -110,12 +113,20 @@
     ----------
     send
         Sends a message to an entry.
+    address
+        Address of this agent's own target, whose tokens no other agent
+        lends.
     """
 
     def __init__(
-        self, *, send: Callable[[reports.Message, SocketAddress], None]
+        self,
+        *,
+        send: Callable[[reports.Message, SocketAddress], None],
+        address: str = "",
     ) -> None:
         """Start without limits."""
+        self.address = address
+        self.started_at = time.monotonic()
         self.send = send
         self.limits: dict[LimitKey, Limit] = {}
         self.changed = directory.Signal()
@@ -151,7 +162,14 @@
             next_in_s = (
                 limit.schedule.next_in_s(now) + position / limit.limit_per_s
             )
-            self._answer(key, sender, granted=False, next_in_s=next_in_s)
+            self._answer(
+                key,
+                sender,
+                granted=False,
+                next_in_s=next_in_s,
+                lifetime_s=lifetime_s,
+                lent_ms=message.asked_ms,
+            )
         self.changed.send()
 
     def run(self) -> None:
@@ -185,15 +203,16 @@
                     "lifetime_ms": int(lifetime_s * MS_PER_S),
                 },
             )
-            # Tokens that an earlier start of this agent or target lent may
-            # still be used.
-            used_until = now
+            first_at = now
             if lifetime_s < requests.TOKEN_LIFETIME_S:
-                used_until += lifetime_s
+                taken_over_at = (
+                    self.started_at if key[0] == self.address else now
+                )
+                first_at = max(now, taken_over_at + TAKEOVER_S + lifetime_s)
             limit = Limit(
                 limit_per_s=limit_per_s,
                 schedule=requests.TokenSchedule(
-                    rate_per_s=limit_per_s, now=used_until, keeps_phase=False
+                    rate_per_s=limit_per_s, now=first_at, keeps_phase=False
                 ),
             )
         limit.name(limit_per_s, lifetime_s, now)
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -34,6 +34,8 @@
     TARGETS_CLOSED = "targets_closed"
     # Limits that became known or ended, of targets that name one.
     TARGET_LIMITS = "target_limits"
+    # Times that a target became cold, or may have become so unnoticed.
+    TARGETS_COLD = "targets_cold"
     # Targets that said in an answer that they are leaving.
     TARGETS_LEAVING = "targets_leaving"
     # Answers of targets that were broken off, as they exceeded a limit.
