--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -29,6 +29,7 @@
 from zinniadyke import platform
 from zinniadyke.platform import headers
 from zinniadyke import reports
+from zinniadyke import requests
 from zinniadyke import settings
 from zinniadyke import telemetry
 
@@ -114,6 +115,9 @@
                 self._select_targets, regions=regions
             ),
             regions=regions,
+            make_cold_limit=functools.partial(
+                _cold_limit, bounds=loaded.bounds
+            ),
         )
         self.crash_guard = _crash_guard.CrashGuard(
             name=loaded.host.name,
@@ -421,6 +425,17 @@
         return [b""]
 
 
+def _cold_limit(
+    service: directory.Service, *, bounds: settings.BoundsSection
+) -> requests.ColdLimit | None:
+    return requests.make_cold_limit(
+        cold_per_s=service.cold_per_s,
+        cold_s=service.cold_s,
+        overage=bounds.cold_overage,
+        slack=bounds.cold_slack,
+    )
+
+
 def _ms_between(start: float, end: float) -> int:
     return math.ceil((end - start) * MS_PER_S)
 
--- a/zinniadyke/sidecar/_token_lender.py
+++ b/zinniadyke/sidecar/_token_lender.py
@@ -28,6 +28,9 @@
 # Part of a short lifetime for which an unused token can still be lent; the
 # rest is left to the entry.
 LENDABLE_PART = 0.2
+# Time for which this agent lends no tokens of a cold target after it has taken
+# over: another agent may still lend some, or entries may use their shares.
+TAKEOVER_S = 1.0
 IDLE_CHECK_S = 1.0
 MS_PER_S = 1000.0
 
@@ -110,12 +113,20 @@
     ----------
     send
         Sends a message to an entry.
+    address
+        Address of this agent's own target, whose tokens no other agent
+        lends.
     """
 
     def __init__(
-        self, *, send: Callable[[reports.Message, SocketAddress], None]
+        self,
+        *,
+        send: Callable[[reports.Message, SocketAddress], None],
+        address: str = "",
     ) -> None:
         """Start without limits."""
+        self.address = address
+        self.started_at = time.monotonic()
         self.send = send
         self.limits: dict[LimitKey, Limit] = {}
         self.changed = directory.Signal()
@@ -146,12 +157,29 @@
                 until=now + wait_s, asked_ms=message.asked_ms, received_at=now
             )
         self._lend(key, limit, now)
-        if sender in limit.waiting:
+        if sender in limit.waiting and message.wait_ms <= 0:
+            del limit.waiting[sender]
+            self._answer(
+                key,
+                sender,
+                granted=False,
+                next_in_s=limit.schedule.next_in_s(now),
+                lifetime_s=lifetime_s,
+                lent_ms=message.asked_ms,
+            )
+        elif sender in limit.waiting:
             position = list(limit.waiting).index(sender)
             next_in_s = (
                 limit.schedule.next_in_s(now) + position / limit.limit_per_s
             )
-            self._answer(key, sender, granted=False, next_in_s=next_in_s)
+            self._answer(
+                key,
+                sender,
+                granted=False,
+                next_in_s=next_in_s,
+                lifetime_s=lifetime_s,
+                lent_ms=message.asked_ms,
+            )
         self.changed.send()
 
     def run(self) -> None:
@@ -172,6 +200,20 @@
             for (address, born_ms), limit in self.limits.items()
         )
 
+    def _first_lent_at(
+        self, address: str, lifetime_s: float, now: float
+    ) -> float:
+        """Return when the first token of a cold target may be lent."""
+        taken_over_at = self.started_at if address == self.address else now
+        # Entries that knew only an earlier start may have sent requests to
+        # this one, if it keeps the id.
+        earlier = [
+            limit.schedule.due_at
+            for (other, _), limit in self.limits.items()
+            if other == address and limit.expires_soon
+        ]
+        return max(now, taken_over_at + TAKEOVER_S + lifetime_s, *earlier)
+
     def _limit(
         self, key: LimitKey, limit_per_s: float, lifetime_s: float, now: float
     ) -> Limit:
@@ -185,15 +227,13 @@
                     "lifetime_ms": int(lifetime_s * MS_PER_S),
                 },
             )
-            # Tokens that an earlier start of this agent or target lent may
-            # still be used.
-            used_until = now
+            first_at = now
             if lifetime_s < requests.TOKEN_LIFETIME_S:
-                used_until += lifetime_s
+                first_at = self._first_lent_at(key[0], lifetime_s, now)
             limit = Limit(
                 limit_per_s=limit_per_s,
                 schedule=requests.TokenSchedule(
-                    rate_per_s=limit_per_s, now=used_until, keeps_phase=False
+                    rate_per_s=limit_per_s, now=first_at, keeps_phase=False
                 ),
             )
         limit.name(limit_per_s, lifetime_s, now)
@@ -206,7 +246,7 @@
         while limit.waiting and limit.schedule.count(now):
             sender, waiting = next(iter(limit.waiting.items()))
             del limit.waiting[sender]
-            if waiting.until > now:
+            if waiting.until >= now:
                 left_s = limit.lifetime_s
                 if limit.expires_soon:
                     left_s -= limit.schedule.age_s(now)
