--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -9,6 +9,7 @@
 from zinniadyke.bench._placement import PlacementOptions
 from zinniadyke.bench._placement import PlacementResult
 from zinniadyke.bench._placement import run_placement
+from zinniadyke.bench._placement_classes import METHODS
 from zinniadyke.bench._placement_classes import run_classes
 from zinniadyke.bench._requests import OpenLoopGenerator
 from zinniadyke.bench._requests import RequestsOptions
@@ -21,6 +22,7 @@
 from zinniadyke.bench._strategies import STRATEGIES
 
 __all__ = [
+    "METHODS",
     "STRATEGIES",
     "Bound",
     "OpenLoopGenerator",
--- a/zinniadyke/bench/_placement_fleet.py
+++ b/zinniadyke/bench/_placement_fleet.py
@@ -24,11 +24,15 @@
 ZONES = ("z1", "z2", "z3")
 # Interval at which agents report the load of their engine to the entries.
 REPORT_INTERVAL_S = 0.1
+# Interval at which entries tell agents their demand.
+SUBSCRIBE_PERIOD_S = 0.5
 # Time after which the registration of a crashed target expires.
 REGISTRATION_EXPIRY_S = 3.0
 # Maximum prompt tokens per step of the users' engines.
 PREFILL_CHUNK_TOKENS = 2048
 MAX_ATTEMPTS = 2
+# Routes of different priority, where the shape asks for them.
+ROUTE_PRIORITIES = 3
 PROFILE = directory.EngineProfile(
     slots=16,
     kv_cache_tokens=1_640_000,
@@ -70,6 +74,10 @@
         Priority that all workspaces state; None if they state none.
     same_route
         Whether all requests have the priority of the same route.
+    reports_demand
+        Whether agents report the demand of all entries.
+    shares_by_demand
+        Whether entries share free slots by it; otherwise equally.
     """
 
     entry_count: int = ENTRY_COUNT
@@ -77,6 +85,8 @@
     profile: directory.EngineProfile = PROFILE
     workspace_priority: int | None = None
     same_route: bool = True
+    reports_demand: bool = False
+    shares_by_demand: bool = False
 
 
 class Fleet:
@@ -93,9 +103,10 @@
         self.engines = {}
         self.registered_targets: dict[ids.TargetId, directory.Target] = {}
         self.views = [directory.View() for _ in range(self.shape.entry_count)]
+        self.routes = self._routes()
         configuration = directory.ServingConfiguration(
             version=1,
-            routes={},
+            routes=directory.index_routes(self.routes),
             services={
                 SERVICE: directory.Service(
                     name=SERVICE, max_connections=200, engine=self.profile
@@ -116,6 +127,10 @@
         self.wait_estimators = [
             admission.CallerWaitEstimator() for _ in self.target_tables
         ]
+        # Each entry's demand for each target when it last subscribed.
+        self.demand: dict[
+            admission.Admission, dict[ids.TargetId, dict[int, float]]
+        ] = {}
         self.entries = [
             admission.Admission(
                 target_table=target_table,
@@ -127,6 +142,30 @@
             for n, target_table in enumerate(self.target_tables)
         ]
 
+        if self.shape.reports_demand:
+            for entry in self.entries:
+                eventlet.spawn(self._subscribe, entry)
+
+    def _subscribe(self, entry: admission.Admission) -> None:
+        eventlet.sleep(self.rng.uniform(0.0, SUBSCRIBE_PERIOD_S))
+        while self.engines:
+            self.demand[entry] = entry.demand_by_target()
+            eventlet.sleep(SUBSCRIBE_PERIOD_S)
+
+    def _record_demand(
+        self, entry: admission.Admission, state: admission.TargetState
+    ) -> None:
+        """Give an entry the demand of all for a target."""
+        total: dict[int, float] = {}
+        for found in self.demand.values():
+            for priority, per_s in found.get(state.target.id, {}).items():
+                total[priority] = total.get(priority, 0.0) + per_s
+        part = None
+        if self.shape.shares_by_demand:
+            own = self.demand.get(entry, {}).get(state.target.id, {})
+            part = admission.slot_part(own, total, state.entries)
+        state.record_demand(total, part)
+
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that all engines together can complete."""
@@ -189,6 +228,8 @@
             ):
                 state = target_table.states[name]
                 state.entries = self.shape.entry_count
+                if self.shape.reports_demand:
+                    self._record_demand(entry, state)
                 state.record_load(len(engine.running), len(engine.waiting))
                 entry.admit_waiting()
             eventlet.sleep(REPORT_INTERVAL_S)
@@ -225,9 +266,15 @@
             tried=[],
         )
 
+    def _routes(self) -> list[directory.Route]:
+        if self.shape.same_route:
+            return [ROUTE]
+        return [
+            msgspec.structs.replace(ROUTE, name=str(n), priority=n)
+            for n in range(ROUTE_PRIORITIES)
+        ]
+
     def _route(self, kind: _placement_workload.RequestKind) -> directory.Route:
         if self.shape.same_route:
             return ROUTE
-        return msgspec.structs.replace(
-            ROUTE, name=kind.name, priority=kind.priority
-        )
+        return self.routes[kind.priority]
--- a/zinniadyke/directory/_configuration.py
+++ b/zinniadyke/directory/_configuration.py
@@ -52,6 +52,8 @@
         The routes of each host, longest path prefix first.
     workspaces
         Workspaces by API key; None if no request needs a key.
+    priorities
+        Priorities of the routes to each service.
     """
 
     version: ids.ConfigurationVersion
@@ -59,6 +61,21 @@
     services: dict[ids.ServiceName, _service.Service]
     limits: CallerLimits
     workspaces: dict[str, Workspace] | None
+    priorities: dict[ids.ServiceName, set[int]] = {}
+
+    def __post_init__(self) -> None:
+        """Collect the priorities of the routes."""
+        self.priorities = {}
+        for routes in self.routes.values():
+            for route in routes:
+                for backend in route.backends:
+                    self.priorities.setdefault(backend.service, set()).add(
+                        route.priority
+                    )
+
+    def has_classes(self, service: ids.ServiceName) -> bool:
+        """Whether routes to a service differ in priority."""
+        return len(self.priorities.get(service, ())) > 1
 
     def find_route(self, host: str, path: str) -> _route.Route | None:
         """Return the host's route with the longest prefix of ``path``."""
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Callable
-import math
 import time
 
 import eventlet
@@ -15,9 +14,11 @@
 from zinniadyke import errors
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _class_record
+from zinniadyke.gateway import _competition
 from zinniadyke.gateway import _demand
 from zinniadyke.gateway import _refusals
 from zinniadyke.gateway import _reservation
+from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _slots
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -67,6 +68,7 @@
         self.demand = _demand.Demand()
         self.record = _class_record.ClassRecord()
         self.queue.rank_of = self._rank_of
+        self.published: set[int] = set()
         self.slots = _slots.Slots(
             target_table=target_table,
             service=service,
@@ -113,24 +115,40 @@
         RequestError
             No target can serve the call in time. Nothing was sent.
         """
-        lane = _lane(call)
-        self.demand.record(lane.rank)
-        self.record.record_arrival(lane.rank)
-        if self.queue.goes_first(lane):
-            state = self._choose_target(call)
+        scope = call.scope
+        candidates = self.target_table.candidates(scope, call.tried)
+        has_classes = self._has_classes()
+        if has_classes and candidates:
+            self.demand.record(scope, call.route.priority)
+            self.record.record_arrival(call.route.priority)
+        if not len(self.queue) or self._goes_first(call):
+            state = self._choose_target(call, candidates, has_classes)
             if state is not None:
-                return self._admit(call, state)
+                return self._admit(call, state, has_classes)
+        lane = _lane(call)
+        competition = self._new_competition()
+        competition.found[scope] = candidates
         while True:
-            # Checked again after each wait: targets may have closed.
-            if not self.target_table.candidates(call.scope, call.tried):
+            if not competition.targets(scope):
                 raise self._no_target()
             max_wait_s = self.waits.max_wait_s(call)
             call.queue_length_at_decision = len(self.queue)
-            token_wait_s = self._token_wait_s(call)
-            call.expected_wait_s = min(self._slot_wait_s(call), token_wait_s)
+            ahead = self.queue.count_ahead_in(
+                lane, competition.overlaps(scope)
+            )
+            slot_wait_s = self._expected_wait_s(lane, competition, ahead)
+            token_wait_s = self._token_wait_s(call, competition, ahead)
+            waits_for_token = self._waits_for_token(competition.targets(scope))
+            call.expected_wait_s = (
+                token_wait_s
+                if waits_for_token
+                else min(slot_wait_s, token_wait_s)
+            )
             call.max_wait_s = max_wait_s
             if max_wait_s <= 0 or call.expected_wait_s > max_wait_s:
-                raise self._queue_full(call)
+                raise _refusals.queue_full(
+                    slot_wait_s, token_wait_s if waits_for_token else None
+                )
             telemetry.gauge(
                 telemetry.Metric.QUEUE_LENGTH,
                 len(self.queue) + 1,
@@ -145,9 +163,14 @@
                 MAX_QUEUE_LENGTH,
                 max_wait_s,
             )
-            state = self._choose_target(call)
+            # Targets and the call's scope may have changed during the wait.
+            scope, lane = call.scope, _lane(call)
+            competition = self._new_competition()
+            state = self._choose_target(
+                call, competition.targets(scope), has_classes
+            )
             if state is not None:
-                return self._admit(call, state)
+                return self._admit(call, state, has_classes)
 
     def release(self, state: _target_state.TargetState) -> None:
         """Free the slot of a finished attempt and admit waiting requests."""
@@ -172,20 +195,26 @@
             while self.queue.grant():
                 pass
             return
-        states = self.target_table.available_targets(self.service)
-        free = sum(self.slots.free_places(s) for s in states)
-        reserved: dict[int, int] = {}
+        competition = self._new_competition()
+        places: dict[tuple[_scope.Scope, int], int | None] = {}
 
         def has_place(lane: requests.Lane) -> bool:
-            if lane.rank not in reserved:
-                reserved[lane.rank] = self._reserved(states, lane.rank)
-            left = free - reserved[lane.rank]
-            return left > self.queue.pending_grants
+            key = (lane.scope, lane.rank)
+            if key not in places:
+                places[key] = self._count_places(lane, competition)
+            if places[key] is None:
+                return True
+            pending = sum(
+                count
+                for scope, count in self.queue.pending_by_scope.items()
+                if competition.overlap(lane.scope, scope)
+            )
+            return places[key] > pending
 
         while len(self.queue) and self.queue.grant_eligible(has_place):
             pass
-        if len(self.queue):
-            self.slots.request_tokens(states, len(self.queue))
+        for scope, count in self.queue.count_by_scope().items():
+            self.slots.request_tokens(competition.targets(scope), count)
 
     def reconsider_waiting(self) -> None:
         """Admit waiting requests; refuse those that limits keep too long.
@@ -194,24 +223,83 @@
         wait with the longest that its objective allows again.
         """
         self.admit_waiting()
+        competition = self._new_competition()
+
+        def is_limited(lane: requests.Lane) -> bool:
+            return all(
+                s.tokens is not None and s.tokens.next_in_s
+                for s in competition.targets(lane.scope)
+            )
+
+        while self.queue.grant_eligible(is_limited):
+            pass
+
+    def demand_by_target(self) -> dict[ids.TargetId, dict[int, float]]:
+        """Return this entry's demand for each target, by priority."""
+        competition = self._new_competition()
+        found: dict[ids.TargetId, dict[int, float]] = {}
+        for (scope, priority), per_s in self.demand.per_s().items():
+            targets = competition.targets(scope)
+            for state in targets:
+                demand = found.setdefault(state.target.id, {})
+                demand[priority] = demand.get(priority, 0.0) + per_s / len(
+                    targets
+                )
+        return found
+
+    def publish_demand(self) -> None:
+        """Set the gauges of this entry's demand and of its reservations."""
+        by_priority: dict[int, float] = dict.fromkeys(self.published, 0.0)
+        for (_, priority), per_s in self.demand.per_s().items():
+            by_priority[priority] = by_priority.get(priority, 0.0) + per_s
         states = self.target_table.available_targets(self.service)
-        if all(s.tokens is not None and s.tokens.next_in_s for s in states):
-            while self.queue.grant():
-                pass
+        for priority, per_s in by_priority.items():
+            label = f"{self.service}.{priority}"
+            telemetry.gauge(telemetry.Metric.DEMAND, per_s, label=label)
+            telemetry.gauge(
+                telemetry.Metric.RESERVED_SLOTS,
+                self._reserved(states, priority),
+                label=label,
+            )
+        self.published = set(by_priority)
+
+    def _has_classes(self) -> bool:
+        """Whether the configuration's routes differ in priority."""
+        configuration = self.target_table.view.configuration
+        return configuration is not None and configuration.has_classes(
+            self.service
+        )
+
+    def _goes_first(self, call: _call.Call) -> bool:
+        """Whether a call is more urgent than all that it competes with."""
+        competition = self._new_competition()
+        return self.queue.goes_first(
+            _lane(call), competition.overlaps(call.scope)
+        )
 
     def _admit(
-        self, call: _call.Call, state: _target_state.TargetState
+        self,
+        call: _call.Call,
+        state: _target_state.TargetState,
+        has_classes: bool,
     ) -> _target_state.TargetState:
-        self.record.record_admission(call.urgency.route)
+        if has_classes:
+            self.record.record_admission(call.route.priority)
         return self.slots.reserve(state)
 
-    def _choose_target(self, call) -> _target_state.TargetState | None:
-        candidates = self.target_table.candidates(call.scope, call.tried)
-        call.reserved_slots = self._reserved(candidates, call.urgency.route)
-        if call.reserved_slots and call.reserved_slots >= sum(
-            self.slots.free_places(s) for s in candidates
-        ):
-            return None
+    def _choose_target(
+        self,
+        call: _call.Call,
+        candidates: list[_target_state.TargetState],
+        has_classes: bool,
+    ) -> _target_state.TargetState | None:
+        if has_classes:
+            reserved = self._reserved(candidates, call.route.priority)
+            call.reserved_slots = reserved
+            if reserved and reserved >= sum(
+                self.slots.free_places(s) for s in candidates
+            ):
+                return None
         return self.slots.choose(
             candidates,
             lambda s: self.slots.free_slots(s) > 0,
@@ -226,62 +314,80 @@
         self, states: list[_target_state.TargetState], rank: int
     ) -> int:
         """Return how many of the targets' free slots a class leaves free."""
-        if not self.demand.mixed or self.record.is_short(rank):
+        if not self._has_classes():
             return 0
-        used = max(len(self.target_table.used.get(self.service, ())), 1)
-        demand = {p: d / used for p, d in self.demand.per_s().items()}
-        return self.slots.round(
-            sum(
-                _reservation.reserved_slots(
-                    demand,
-                    rank,
-                    slots=state.target.slots,
-                    mean_response_s=self.waits.mean_response_s,
-                )
-                for state in states
+        reserved = sum(
+            _reservation.reserved_slots(
+                state.known_demand,
+                rank,
+                slots=state.target.slots,
+                mean_response_s=self.waits.mean_response_s,
             )
+            * (state.slot_part or 1 / state.entries)
+            for state in states
+            if state.demand
         )
+        if not reserved or self.record.is_short(rank):
+            return 0
+        return self.slots.round(reserved)
 
-    def _expected_wait_s(self, call: _call.Call) -> float:
-        lane = _lane(call)
+    def _new_competition(self) -> _competition.Competition:
+        return _competition.Competition(target_table=self.target_table)
+
+    def _count_places(
+        self, lane: requests.Lane, competition: _competition.Competition
+    ) -> int | None:
+        """Return the free slots for a lane; None if no target is left.
+
+        Those that wait without a target are refused when they are granted.
+        """
+        targets = competition.targets(lane.scope)
+        if not targets:
+            return None
+        return sum(
+            self.slots.free_places(s) for s in targets
+        ) - self._reserved(targets, lane.rank)
+
+    def _expected_wait_s(
+        self,
+        lane: requests.Lane,
+        competition: _competition.Competition,
+        ahead: float,
+    ) -> float:
+        """Return the estimated wait for a slot, in seconds."""
+        rank = self._rank_of(lane.rank)
         return self.waits.slot_wait_s(
-            self.queue.count_ahead_in(lane),
+            ahead,
+            part=competition.capacity_part(lane.scope),
             more_urgent_per_s=sum(
-                per_s
-                for rank, per_s in self.demand.per_s().items()
-                if rank < self._rank_of(lane.rank)
+                per_s * competition.overlap(lane.scope, scope)
+                for (scope, other), per_s in self.demand.per_s().items()
+                if other < rank
             ),
             least_part=self.record.least_part(lane.rank),
         )
 
-    def _slot_wait_s(self, call: _call.Call) -> float:
-        """Return the estimated wait for a slot; infinite if slots are free.
-
-        Requests that find free slots wait for tokens of targets with limits.
-        """
-        candidates = self.target_table.candidates(call.scope, call.tried)
-        if all(s.tokens is not None for s in candidates) and any(
+    def _waits_for_token(
+        self, candidates: list[_target_state.TargetState]
+    ) -> bool:
+        """Whether slots are free, at targets that all limit requests."""
+        return all(s.tokens is not None for s in candidates) and any(
             self.slots.free_slots(s) > 0 for s in candidates
-        ):
-            return float("inf")
-        return self._expected_wait_s(call)
+        )
 
-    def _token_wait_s(self, call: _call.Call) -> float:
-        candidates = self.target_table.candidates(call.scope, call.tried)
+    def _token_wait_s(
+        self,
+        call: _call.Call,
+        competition: _competition.Competition,
+        ahead: float,
+    ) -> float:
         return _waits.token_wait_s(
             (
                 s
-                for s in candidates
+                for s in competition.targets(call.scope)
                 if s.tokens is not None and self.slots.free_slots(s) > 0
             ),
-            self.queue.count_ahead_in(_lane(call)),
-        )
-
-    def _queue_full(self, call: _call.Call) -> errors.RequestError:
-        waits_for_token = math.isinf(self._slot_wait_s(call))
-        return _refusals.queue_full(
-            self._expected_wait_s(call),
-            self._token_wait_s(call) if waits_for_token else None,
+            ahead,
         )
 
     def _no_target(self) -> errors.RequestError:
@@ -296,5 +402,5 @@
         level=call.workspace_priority,
         priority=call.urgency.workspace,
         rank=call.urgency.route,
-        scope=None,
+        scope=call.scope,
     )
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -297,6 +297,10 @@
         ]
         if call.workspace is not None:
             entry_headers.append((headers.WORKSPACE, call.workspace))
+        if call.engine_priority is not None:
+            entry_headers.append(
+                (headers.ENGINE_PRIORITY, str(call.engine_priority))
+            )
         if self.last_event_id:
             entry_headers.append((headers.LAST_EVENT_ID, self.last_event_id))
         if request.body or request.header_count("content-length"):
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -29,6 +29,8 @@
         Priority of the workspace, or of the route if it states none.
     workspace_priority
         Priority that the workspace states; None if it states none.
+    engine_priority
+        Priority that is stated to the target; None if none is.
     model
         Requested model; empty for services without models.
     prompt_parts
@@ -64,6 +66,7 @@
     workspace: ids.WorkspaceName | None
     priority: int
     workspace_priority: int | None = None
+    engine_priority: int | None = None
     deadline: float
     objective_at: float
     waited_s: float = 0.0
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -56,14 +56,20 @@
     waited_s = wait_estimator.waited_s(route.name, deadline_s)
     wait_s = min(deadline_s, route.timeout_s)
     stated = workspace.priority if workspace is not None else None
+    service = choose_service(route)
     return _call.Call(
         request=request,
         id=ids.RequestId(request_id),
         route=route,
-        service=choose_service(route),
+        service=service,
         workspace=workspace.name if workspace else None,
         priority=route.priority if stated is None else stated,
         workspace_priority=stated,
+        engine_priority=(
+            min(max(route.priority, 0), headers.MAX_ENGINE_PRIORITY)
+            if configuration.has_classes(service)
+            else None
+        ),
         deadline=request.arrived_at + wait_s,
         objective_at=request.arrived_at - waited_s + route.objective_s,
         waited_s=waited_s,
--- a/zinniadyke/gateway/_demand.py
+++ b/zinniadyke/gateway/_demand.py
@@ -1,11 +1,15 @@
-"""Measures the arrivals of requests by the priority of their route."""
+"""Measures the arrivals of requests by scope and priority of their route."""
 
 import time
 
+from zinniadyke.gateway import _scope
+
 # Arrivals are counted in windows of this length; the rate is that of the
 # present window and of the rest of the previous one.
 WINDOW_S = 2.0
 
+Arrivals = dict[tuple[_scope.Scope | None, int], int]
+
 
 class Demand:
     """Arrivals at an entry for one service.
@@ -18,32 +22,22 @@
     def __init__(self) -> None:
         """Start without arrivals."""
         self.window_started_at = time.monotonic()
-        self.current: dict[int, int] = {}
-        self.previous: dict[int, int] = {}
+        self.current: Arrivals = {}
+        self.previous: Arrivals = {}
 
-    def record(self, priority: int) -> None:
+    def record(self, scope: _scope.Scope | None, priority: int) -> None:
         """Record an arrival."""
         self._turn()
-        self.current[priority] = self.current.get(priority, 0) + 1
-
-    def per_s(self) -> dict[int, float]:
-        """Return the arrivals a second of each priority that is in use."""
-        elapsed_s = self._turn()
-        rest = 1.0 - elapsed_s / WINDOW_S
-        return {
-            priority: (
-                self.current.get(priority, 0)
-                + rest * self.previous.get(priority, 0)
-            )
-            / WINDOW_S
-            for priority in sorted(self.current.keys() | self.previous.keys())
-        }
-
-    @property
-    def mixed(self) -> bool:
-        """Whether routes of different priority are in use."""
-        self._turn()
-        return len(self.current.keys() | self.previous.keys()) > 1
+        key = (scope, priority)
+        self.current[key] = self.current.get(key, 0) + 1
+
+    def per_s(self) -> dict[tuple[_scope.Scope | None, int], float]:
+        """Return the arrivals a second by scope and priority in use."""
+        rest = 1.0 - self._turn() / WINDOW_S
+        rates = {key: n / WINDOW_S for key, n in self.current.items()}
+        for key, count in self.previous.items():
+            rates[key] = rates.get(key, 0.0) + rest * count / WINDOW_S
+        return rates
 
     def _turn(self) -> float:
         """Begin new windows that are due; return the time in this one."""
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -24,6 +24,7 @@
 from zinniadyke.gateway import _target_table
 from zinniadyke.gateway import _token_borrower
 from zinniadyke import ids
+from zinniadyke import reports
 from zinniadyke import requests
 from zinniadyke import settings
 from zinniadyke import telemetry
@@ -87,6 +88,22 @@
         for admission in self.admissions.values():
             admission.admit_waiting()
 
+    def demand_by_address(self) -> dict[str, reports.DemandByPriority]:
+        """Return this entry's demand for each target, by address.
+
+        Only for services whose routes differ in priority.
+        """
+        found = {}
+        configuration = self.view.configuration
+        for service, admission in self.admissions.items():
+            if configuration is None or not configuration.has_classes(service):
+                continue
+            admission.publish_demand()
+            for name, demand in admission.demand_by_target().items():
+                state = self.target_table.states[name]
+                found[state.target.address] = demand
+        return found
+
     def _reconsider_waiting(self, service: ids.ServiceName) -> None:
         self._admission(service).reconsider_waiting()
 
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -116,6 +116,7 @@
             target_table=self.target_table,
             on_report=self.forwarder.admit_waiting,
         )
+        self.load_listener.own_demand = self.forwarder.demand_by_address
         self.crash_guard.send = self.load_listener.send
         borrower = self.forwarder.token_borrower
         borrower.send = self.load_listener.send
@@ -304,6 +305,10 @@
                 fields["waiting"] = call.queue_length_at_decision
                 fields["expected_wait_ms"] = _ms_or_none(call.expected_wait_s)
                 fields["patience_ms"] = _ms_or_none(call.max_wait_s)
+            if call.engine_priority is not None:
+                urgency = call.urgency
+                fields["urgency"] = [urgency.workspace, urgency.route]
+                fields["reserved"] = call.reserved_slots
             fields["load"] = call.load_at_send
             fields["load_age_ms"] = _ms_or_none(call.load_age_s)
             fields["gap_ms"] = math.ceil(call.longest_gap_s * MS_PER_S)
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -7,8 +7,10 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+import msgspec
 
 from zinniadyke import directory
+from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_table
 from zinniadyke import reports
 from zinniadyke import uptime
@@ -40,6 +42,9 @@
         of them at once.
     last_desired_weights
         Desired weights when ``named`` was last signalled.
+    own_demand
+        Returns this entry's demand for targets by priority, by address;
+        only of targets whose service has routes of different priority.
     handlers
         Handlers of other messages, by type; called with the message and the
         host that sent it.
@@ -68,20 +73,36 @@
         self.named = directory.Signal()
         self.last_desired_weights: dict = {}
         self.handlers: dict[type, Callable] = {}
+        self.own_demand: Callable[[], dict[str, reports.DemandByPriority]] = (
+            dict
+        )
+        self.subscribed_demand: dict[str, reports.DemandByPriority] = {}
         view.on_change.append(self._on_view_change)
 
     def subscribe(self) -> None:
         """Subscribe to the reports of the agents of used targets, forever."""
         while True:
-            message = reports.encode(
-                reports.Subscribe(
-                    entry=self.name,
-                    named=self.view.desired_weights_ages_ms(),
-                    region=self.region,
-                )
+            message = reports.Subscribe(
+                entry=self.name,
+                named=self.view.desired_weights_ages_ms(),
+                region=self.region,
             )
+            self.subscribed_demand = self.own_demand()
+            by_host = {
+                address.rpartition(":")[0]: demand
+                for address, demand in self.subscribed_demand.items()
+            }
+            data = reports.encode(message)
             for host_ip in sorted(self.target_table.used_hosts()):
-                self._send(message, host_ip)
+                if host_ip in by_host:
+                    self.send(
+                        msgspec.structs.replace(
+                            message, demand=by_host[host_ip]
+                        ),
+                        host_ip,
+                    )
+                else:
+                    self._send(data, host_ip)
             self.named.wait(SUBSCRIBE_PERIOD_S)
 
     def send(self, message: reports.Message, host_ip: str) -> None:
@@ -137,6 +158,14 @@
                 )
             state.entries = max(report.entries, 1)
             state.local_entries = report.local_entries
+            state.record_demand(
+                report.demand,
+                _reservation.slot_part(
+                    self.subscribed_demand.get(report.address, {}),
+                    report.demand,
+                    state.entries,
+                ),
+            )
             state.record_load(report.running, report.waiting)
             state.switching = report.switching
             state.switches_at = (
--- a/zinniadyke/gateway/_reservation.py
+++ b/zinniadyke/gateway/_reservation.py
@@ -1,9 +1,12 @@
-"""Slots that requests leave free for more urgent arrivals, without I/O."""
+"""Parts of a target's free slots, without I/O."""
 
 from collections.abc import Mapping
 
 # Free slots become known to other entries with the next load report.
 REPORT_INTERVAL_S = 0.1
+# The rest of the free slots is shared equally, so that an entry whose
+# requests are not yet in the reported demand has a chance of a slot.
+PART_BY_DEMAND = 0.8
 
 
 def reserved_slots(
@@ -13,7 +16,7 @@
     slots: int,
     mean_response_s: float,
 ) -> float:
-    """Return the slots that a request of a route leaves free at a target.
+    """Return the slots that requests of a route leave free at a target.
 
     Load: less urgent requests that take every slot as it becomes free, so
     that urgent ones find none when they arrive. The slots are those that
@@ -23,9 +26,10 @@
     Parameters
     ----------
     demand
-        Arrivals a second for the target, by priority of their route.
+        Arrivals a second for the target at all entries, by priority of
+        their route.
     priority
-        Priority of the request's route.
+        Priority of the requests' route.
     slots
         Slots of the target.
     mean_response_s
@@ -37,3 +41,31 @@
     return more_urgent_per_s * (
         REPORT_INTERVAL_S + mean_response_s / max(slots, 1)
     )
+
+
+def slot_part(
+    own: Mapping[int, float], demand: Mapping[int, float], entries: int
+) -> float | None:
+    """Return the part of a target's free slots that an entry may use.
+
+    Load: entries with much demand beside others with little, which leave
+    their equal parts unused until the next report. The parts of all entries
+    add up to 1.
+
+    Parameters
+    ----------
+    own, demand
+        Arrivals a second for the target at this entry and at all, by
+        priority of their route.
+    entries
+        Number of entries that use the target.
+
+    Returns
+    -------
+    float | None
+        None for an equal part: fewer than two priorities are in use.
+    """
+    if len(demand) < 2:
+        return None
+    by_demand = min(sum(own.values()) / sum(demand.values()), 1.0)
+    return PART_BY_DEMAND * by_demand + (1 - PART_BY_DEMAND) / max(entries, 1)
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -13,6 +13,8 @@
 
 # Older load reports are ignored. Agents report at least every 0.3 s.
 REPORT_MAX_AGE_S = 4.0
+# Subscriptions, and with them the demand of an entry, lapse after this time.
+DEMAND_MAX_AGE_S = 2.0
 # A target whose agent has been silent for this long may be down: two reports
 # are missing. The registration of one that crashed lapses only after seconds.
 SILENT_AFTER_S = 0.8
@@ -56,6 +58,12 @@
         Number of those in the target's region.
     slot_share
         Part of the slots free at the last report that this entry may use.
+    slot_part
+        Part of the free slots that this entry may use; None for an equal
+        one.
+    demand
+        Requests a second that arrive for the target at all entries, by
+        priority of their route, as last reported.
     switching
         Whether the target rejects new requests while it switches weights.
     outdated
@@ -91,6 +99,8 @@
         self.entries = 1
         self.local_entries = 0
         self.slot_share = 0
+        self.slot_part: float | None = None
+        self.demand: dict[int, float] = {}
         self.weights: dict | None = None
         self.switching = False
         self.switches_at = float("inf")
@@ -111,9 +121,18 @@
         self.in_flight_at_report = self.in_flight
         self.reported_at = time.monotonic()
         self.slot_share = _draw_slot_share(
-            self.request_capacity - self.reported_requests, self.entries
+            self.request_capacity - self.reported_requests,
+            self.entries,
+            self.slot_part,
         )
 
+    def record_demand(
+        self, demand: dict[int, float], slot_part: float | None
+    ) -> None:
+        """Record the reported demand; the load report follows."""
+        self.demand = demand
+        self.slot_part = slot_part
+
     def record_limit(self, limit_per_s: float) -> None:
         """Record that the target names a limit."""
         self.limit_named_at = time.monotonic()
@@ -228,6 +247,13 @@
         """Number of requests at which the target is full."""
         return self.target.slots + MAX_ENGINE_QUEUE
 
+    @property
+    def known_demand(self) -> dict[int, float]:
+        """Demand for the target; empty if its reports have stopped."""
+        if time.monotonic() - self.reported_at > DEMAND_MAX_AGE_S:
+            return {}
+        return self.demand
+
     @property
     def free_slots(self) -> int:
         """Number of requests that this entry may send now.
@@ -270,13 +296,15 @@
         return bool(versions)
 
 
-def _draw_slot_share(free: int, entries: int) -> int:
-    """Return an equal share of the free slots, rounded randomly.
+def _draw_slot_share(free: int, entries: int, part: float | None) -> int:
+    """Return a part of the free slots, rounded randomly; equal if None.
 
     Random rounding makes the shares of all entries add up to the free slots
     on average.
     """
     if free <= 0:
         return 0
+    if part is not None:
+        return int(free * part + random.random())
     whole, rest = divmod(free, max(entries, 1))
     return whole + (random.random() * max(entries, 1) < rest)
--- a/zinniadyke/gateway/_waits.py
+++ b/zinniadyke/gateway/_waits.py
@@ -72,6 +72,7 @@
         self,
         ahead: float,
         *,
+        part: float = 1.0,
         more_urgent_per_s: float = 0.0,
         least_part: float = 0.0,
     ) -> float:
@@ -82,15 +83,16 @@
 
         Parameters
         ----------
+        part
+            Part of the service's slots that the request may use.
         more_urgent_per_s
             Arrivals of more urgent requests.
         least_part
             Part of the completions that they leave at least.
         """
-        per_s = self.completions_per_s()
+        per_s = part * self.completions_per_s()
         left_per_s = max(per_s - more_urgent_per_s, least_part * per_s)
-        # At most one request in a window is left if nothing else is known.
-        return (ahead + 1) / max(left_per_s, 1 / COMPLETION_WINDOW_S)
+        return (ahead + 1) / max(left_per_s, part / COMPLETION_WINDOW_S)
 
     def max_wait_s(self, call: _call.Call) -> float:
         """Return the longest wait that still meets the objective."""
--- a/zinniadyke/gateway/admission.py
+++ b/zinniadyke/gateway/admission.py
@@ -4,12 +4,16 @@
 from zinniadyke.gateway._call import Call
 from zinniadyke.gateway._caller_wait import CallerWaitEstimator
 from zinniadyke.gateway._placement import zone_penalties
+from zinniadyke.gateway._reservation import slot_part
+from zinniadyke.gateway._target_state import TargetState
 from zinniadyke.gateway._target_table import TargetTable
 
 __all__ = [
     "Admission",
     "Call",
+    "TargetState",
     "TargetTable",
     "CallerWaitEstimator",
+    "slot_part",
     "zone_penalties",
 ]
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -11,6 +11,7 @@
 EXPECTED_WEIGHTS = "x-zinniadyke-expect-version"
 # Integer from 0 to 9; 0 is admitted first.
 ENGINE_PRIORITY = "x-zinniadyke-request-priority"
+MAX_ENGINE_PRIORITY = 9
 # Servers that run parts of the model; never forwarded from callers.
 LAYER_PATH = "path"
 MODEL = "x-zinniadyke-model"
--- a/zinniadyke/requests/_lane_queue.py
+++ b/zinniadyke/requests/_lane_queue.py
@@ -53,6 +53,8 @@
 
     Attributes
     ----------
+    pending_by_scope
+        Grants whose requests have not resumed yet.
     rank_of
         Returns the rank that a rank counts as at present.
     """
@@ -62,6 +64,7 @@
         super().__init__()
         self.lanes: dict[Lane, list[_fair_queue.Entry]] = {}
         self.waiting_by_lane: dict[Lane, int] = {}
+        self.pending_by_scope: dict[Hashable, int] = {}
         self.rank_of: Callable[[int], int] = lambda rank: rank
 
     def wait_in(
@@ -80,6 +83,13 @@
         waiter = LaneWaiter(flow=flow, grant_event=event.Event(), lane=lane)
         self._wait(waiter, 1, max_waiting, timeout_s)
 
+    def count_by_scope(self) -> dict[Hashable, int]:
+        """Return the number of waiting requests of each scope."""
+        found: dict[Hashable, int] = {}
+        for lane, count in self.waiting_by_lane.items():
+            found[lane.scope] = found.get(lane.scope, 0) + count
+        return found
+
     def count_ahead_in(
         self, lane: Lane, overlap: Callable[[Hashable], float] = lambda s: 1.0
     ) -> float:
@@ -134,6 +144,19 @@
         """Grant the next waiting request; return False if none waits."""
         return self.grant_eligible(lambda lane: True)
 
+    def _grant(self, start_tag: float, waiter: LaneWaiter) -> None:
+        scope = waiter.lane.scope
+        self.pending_by_scope[scope] = self.pending_by_scope.get(scope, 0) + 1
+        super()._grant(start_tag, waiter)
+
+    def _end_wait(self, waiter: LaneWaiter) -> None:
+        super()._end_wait(waiter)
+        if waiter.granted:
+            scope = waiter.lane.scope
+            self.pending_by_scope[scope] -= 1
+            if not self.pending_by_scope[scope]:
+                del self.pending_by_scope[scope]
+
     def _urgency(self, lane: Lane) -> tuple[int, int]:
         return max(lane.priority, 0), self.rank_of(lane.rank)
 
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -34,6 +34,8 @@
 # which take a second or two, on targets where they are not interrupted.
 SWITCH_NOTICE_S = 2.0
 MS_PER_S = 1000.0
+# A higher demand for one target is an error of its sender.
+MAX_DEMAND_PER_S = 1e6
 
 
 class LoadReporter:
@@ -73,6 +75,8 @@
         self.switch_in_s: Callable[[], float | None] = lambda: None
         self.region = region
         self.subscribers: dict[tuple[str, int], float] = {}
+        # Demand of the subscribers that state one.
+        self.demand: dict[tuple[str, int], reports.DemandByPriority] = {}
         # Subscribers in this region, or in one that they do not name.
         self.local_subscribers: set[tuple[str, int]] = set()
         self.last_sent: reports.LoadReport | None = None
@@ -112,6 +116,10 @@
         if message.region in ("", self.region):
             self.local_subscribers.add(sender)
         reports.learn_desired_weights(self.view, message.named)
+        if message.demand:
+            self.demand[sender] = message.demand
+        else:
+            self.demand.pop(sender, None)
 
     def run(self) -> None:
         """Read the target's load and send it, forever."""
@@ -156,9 +164,27 @@
                 local_entries=len(self.local_subscribers),
                 sent_ms=int(uptime.now_s() * MS_PER_S),
                 limit_per_s=report.limit_per_s,
+                demand=self._sum_demand(),
             )
         )
 
+    def _sum_demand(self) -> reports.DemandByPriority:
+        """Return the demand of all entries whose subscription is valid."""
+        oldest = time.monotonic() - SUBSCRIPTION_TIMEOUT_S
+        total: reports.DemandByPriority = {}
+        for sender, demand in self.demand.items():
+            if self.subscribers.get(sender, oldest) <= oldest:
+                continue
+            for priority, per_s in demand.items():
+                if 0 < per_s < MAX_DEMAND_PER_S:
+                    total[priority] = total.get(priority, 0.0) + per_s
+                else:
+                    LOG.warning(
+                        "demand ignored",
+                        extra={"host": sender[0], "per_s": str(per_s)},
+                    )
+        return total
+
     def _switch_in_ms(self) -> int | None:
         remaining_s = self.switch_in_s()
         if remaining_s is None or remaining_s > SWITCH_NOTICE_S:
@@ -183,6 +209,7 @@
             if now > subscribed_at + SUBSCRIPTION_TIMEOUT_S:
                 del self.subscribers[sender]
                 self.local_subscribers.discard(sender)
+                self.demand.pop(sender, None)
                 continue
             self._send_to(data, sender)
 
@@ -199,7 +226,7 @@
             LOG.debug("cannot send datagram", extra={"reason": str(error)})
 
     def _is_unchanged(self, report: reports.LoadReport) -> bool:
-        """Whether only times differ from the last report sent."""
+        """Whether only times and demand differ from the last report sent."""
         last = self.last_sent
         if last is None or (
             (last.switch_in_ms is None) != (report.switch_in_ms is None)
@@ -208,6 +235,7 @@
         return report == msgspec.structs.replace(
             last,
             named=report.named,
+            demand=report.demand,
             switch_in_ms=report.switch_in_ms,
             sent_ms=report.sent_ms,
         )
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -42,6 +42,10 @@
     PROMPT_PARTS_REFUSED = "prompt_parts_refused"
     # Requests that were found to crash targets, equal ones once.
     CONTENTS_REFUSED = "contents_refused"
+    # Requests that arrive in a second, by priority of their route.
+    DEMAND = "demand"
+    # Slots that requests of a route leave free for more urgent ones.
+    RESERVED_SLOTS = "reserved_slots"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
