--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -52,6 +52,10 @@
     LATE_WAITS = "late_waits"
     # Bytes that an entry holds for callers and targets.
     HELD_BYTES = "held_bytes"
+    # Requests that arrive in a second, by priority of their route.
+    DEMAND = "demand"
+    # Slots that requests of a route leave free for more urgent ones.
+    RESERVED_SLOTS = "reserved_slots"
     QUEUE_LENGTH = "queue_length"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
