--- a/tests/gateway/test_slot_shares.py
+++ b/tests/gateway/test_slot_shares.py
@@ -89,6 +89,7 @@
                 objective_at=now + objective_s,
                 model="m",
                 allowed_regions=region and frozenset([region]),
+                configuration=self.table.view.configuration,
                 last_event_id="",
                 tried=[],
             )
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -36,6 +36,11 @@
 MAX_QUEUE_LENGTH = 1000
 # Rank of a class that must not wait for others any longer.
 FIRST_RANK = -1
+# Rank behind all classes, of requests that have missed their objective.
+LATE_RANK = 1000
+# A request waits for a slot with at least this chance to get one within its
+# objective. Refused at once, it would be late for certain.
+MIN_SLOT_CHANCE = 0.25
 
 
 class Admission:
@@ -121,54 +126,43 @@
         scope = call.scope
         candidates = self.target_table.candidates(scope, call.tried)
         has_classes = self._has_classes()
+        may_wait_late = self.has_variable_capacity()
         if has_classes and candidates:
-            self.demand.record(scope, call.route.priority)
             self.record.record_arrival(call.route.priority)
+        if may_wait_late and candidates and not self._is_late(call):
+            self.demand.record(scope, call.route.priority)
         if not len(self.queue) or self._goes_first(call):
             state = self._choose_target(call, candidates, has_classes)
             if state is not None:
                 return self._admit(call, state, has_classes)
-        lane = _lane(call)
         competition = self._new_competition()
         competition.found[scope] = candidates
         while True:
             if not competition.targets(scope):
                 raise self._no_target(call)
-            max_wait_s = self.waits.max_wait_s(call)
-            call.queue_length_at_decision = len(self.queue)
-            ahead = self.queue.count_ahead_in(
-                lane, competition.overlaps(scope)
-            )
-            slot_wait_s = self._expected_wait_s(lane, competition, ahead)
-            token_wait_s = self._token_wait_s(call, competition, ahead)
-            waits_for_token = self._waits_for_token(competition.targets(scope))
-            call.expected_wait_s = (
-                token_wait_s
-                if waits_for_token
-                else min(slot_wait_s, token_wait_s)
-            )
-            call.max_wait_s = max_wait_s
-            if max_wait_s <= 0 or call.expected_wait_s > max_wait_s:
-                raise _refusals.queue_full(
-                    slot_wait_s, token_wait_s if waits_for_token else None
-                )
+            lane = self._plan_wait(call, competition, may_wait_late)
             telemetry.gauge(
                 telemetry.Metric.QUEUE_LENGTH,
                 len(self.queue) + 1,
                 label=self.service,
             )
-            if 0 < token_wait_s < max_wait_s:
-                # An entry's own share falls due without any message.
-                eventlet.spawn_after(token_wait_s, self.admit_waiting)
-            self.queue.wait_in(
-                lane,
-                call.workspace or ids.WorkspaceName(""),
-                MAX_QUEUE_LENGTH,
-                max_wait_s,
-            )
+            try:
+                self.queue.wait_in(
+                    lane,
+                    call.workspace or ids.WorkspaceName(""),
+                    MAX_QUEUE_LENGTH,
+                    call.max_wait_s,
+                )
+            except errors.RequestError as error:
+                if (
+                    not may_wait_late
+                    or lane.late
+                    or error.code is not errors.ResultCode.QUEUE_TIMEOUT
+                ):
+                    raise
             # Targets and the call's scope may have changed during the wait.
             self._rescope(call)
-            scope, lane = call.scope, _lane(call)
+            scope = call.scope
             competition = self._new_competition()
             state = self._choose_target(
                 call, competition.targets(scope), has_classes
@@ -200,10 +194,10 @@
                 pass
             return
         competition = self._new_competition()
-        places: dict[tuple[_scope.Scope, int], int | None] = {}
+        places: dict[tuple[_scope.Scope, int, bool], int | None] = {}
 
         def has_place(lane: requests.Lane) -> bool:
-            key = (lane.scope, lane.rank)
+            key = (lane.scope, lane.rank, lane.late)
             if key not in places:
                 places[key] = self._count_places(lane, competition)
             if places[key] is None:
@@ -298,11 +292,76 @@
             self.service
         )
 
+    def _plan_wait(
+        self,
+        call: _call.Call,
+        competition: _competition.Competition,
+        may_wait_late: bool,
+    ) -> requests.Lane:
+        """Return the lane in which a call waits, and set its longest wait.
+
+        Raises
+        ------
+        RequestError
+            No slot is expected in time.
+        """
+        lane = _lane(call, late=False)
+        call.queue_length_at_decision = len(self.queue)
+        ahead = self.queue.count_ahead_in(
+            lane, competition.overlaps(call.scope)
+        )
+        slot_wait_s = self._expected_wait_s(lane, competition, ahead)
+        token_wait_s = self._token_wait_s(call, competition, ahead)
+        waits_for_token = self._waits_for_token(
+            competition.targets(call.scope)
+        )
+        call.expected_wait_s = (
+            token_wait_s if waits_for_token else min(slot_wait_s, token_wait_s)
+        )
+        call.max_wait_s = self.waits.max_wait_s(call)
+        if 0 < token_wait_s < call.max_wait_s:
+            # An entry's own share falls due without any message.
+            eventlet.spawn_after(token_wait_s, self.admit_waiting)
+        if call.max_wait_s > 0 and (
+            call.expected_wait_s <= call.max_wait_s
+            or (
+                may_wait_late
+                and not waits_for_token
+                and self._slot_chance(call, lane, competition, ahead)
+                >= MIN_SLOT_CHANCE
+            )
+        ):
+            return lane
+        if may_wait_late and not waits_for_token:
+            late_lane = _lane(call, late=True)
+            slot_wait_s = self._expected_wait_s(
+                late_lane,
+                competition,
+                self.queue.count_ahead_in(
+                    late_lane, competition.overlaps(call.scope)
+                ),
+            )
+            call.expected_wait_s = slot_wait_s
+            call.max_wait_s = self.waits.max_late_wait_s(call)
+            if call.expected_wait_s <= call.max_wait_s:
+                telemetry.count(
+                    telemetry.Metric.LATE_WAITS, label=self.service
+                )
+                return late_lane
+        raise _refusals.queue_full(
+            slot_wait_s, token_wait_s if waits_for_token else None
+        )
+
+    def _is_late(self, call: _call.Call) -> bool:
+        """Whether a call can no longer be answered within its objective."""
+        return self.waits.max_wait_s(call) <= 0
+
     def _goes_first(self, call: _call.Call) -> bool:
         """Whether a call is more urgent than all that it competes with."""
         competition = self._new_competition()
+        late = self.has_variable_capacity() and self._is_late(call)
         return self.queue.goes_first(
-            _lane(call), competition.overlaps(call.scope)
+            _lane(call, late=late), competition.overlaps(call.scope)
         )
 
     def _admit(
@@ -322,7 +381,10 @@
         has_classes: bool,
     ) -> _target_state.TargetState | None:
         if has_classes:
-            reserved = self._reserved(candidates, call.route.priority)
+            reserved = self._reserved(
+                candidates,
+                LATE_RANK if self._is_late(call) else call.route.priority,
+            )
             call.reserved_slots = reserved
             if reserved and reserved >= sum(
                 self.slots.free_places(s) for s in candidates
@@ -374,7 +436,7 @@
             return None
         return sum(
             self.slots.free_places(s) for s in targets
-        ) - self._reserved(targets, lane.rank)
+        ) - self._reserved(targets, LATE_RANK if lane.late else lane.rank)
 
     def _expected_wait_s(
         self,
@@ -383,17 +445,38 @@
         ahead: float,
     ) -> float:
         """Return the estimated wait for a slot, in seconds."""
-        rank = self._rank_of(lane.rank)
         return self.waits.slot_wait_s(
-            ahead,
-            part=competition.capacity_part(lane.scope),
-            more_urgent_per_s=sum(
+            ahead, **self._slot_supply(lane, competition)
+        )
+
+    def _slot_chance(
+        self,
+        call: _call.Call,
+        lane: requests.Lane,
+        competition: _competition.Competition,
+        ahead: float,
+    ) -> float:
+        """Return the chance of a slot within the longest wait of a call."""
+        return self.waits.slot_chance(
+            ahead, call.max_wait_s, **self._slot_supply(lane, competition)
+        )
+
+    def _slot_supply(
+        self, lane: requests.Lane, competition: _competition.Competition
+    ) -> dict[str, float]:
+        """Return what decides how many slots become free for a lane."""
+        rank = LATE_RANK if lane.late else self._rank_of(lane.rank)
+        return {
+            "part": competition.capacity_part(lane.scope),
+            "more_urgent_per_s": sum(
                 per_s * competition.overlap(lane.scope, scope)
                 for (scope, other), per_s in self.demand.per_s().items()
                 if other < rank
             ),
-            least_part=self.record.least_part(lane.rank),
-        )
+            "least_part": (
+                0.0 if lane.late else self.record.least_part(lane.rank)
+            ),
+        }
 
     def _waits_for_token(
         self, candidates: list[_target_state.TargetState]
@@ -425,11 +508,12 @@
         )
 
 
-def _lane(call: _call.Call) -> requests.Lane:
+def _lane(call: _call.Call, *, late: bool) -> requests.Lane:
     """Return the lane in which a call waits."""
     return requests.Lane(
         level=call.workspace_priority,
         priority=call.urgency.workspace,
         rank=call.urgency.route,
         scope=call.scope,
+        late=late,
     )
--- a/zinniadyke/gateway/_waits.py
+++ b/zinniadyke/gateway/_waits.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+import math
 import time
 
 from zinniadyke.gateway import _call
@@ -90,9 +91,48 @@
         least_part
             Part of the completions that they leave at least.
         """
+        return (ahead + 1) / self._left_per_s(
+            part, more_urgent_per_s, least_part
+        )
+
+    def slot_chance(
+        self,
+        ahead: float,
+        within_s: float,
+        *,
+        part: float = 1.0,
+        more_urgent_per_s: float = 0.0,
+        least_part: float = 0.0,
+    ) -> float:
+        """Return the probability of a slot within a time, in seconds.
+
+        Load: entries at which slots become free less often than once in the
+        time that the objective leaves. The mean wait says no there, although
+        every second request or so would be in time. Slots that become free
+        count as a Poisson process.
+        """
+        left_per_s = self._left_per_s(part, more_urgent_per_s, least_part)
+        mean = left_per_s * max(within_s, 0.0)
+        needed = math.ceil(ahead) + 1
+        if needed > mean + 6 * math.sqrt(mean) + 6:
+            return 0.0
+        term = total = math.exp(-mean)
+        for count in range(1, needed):
+            term *= mean / count
+            total += term
+        return 1.0 - total
+
+    def _left_per_s(
+        self, part: float, more_urgent_per_s: float, least_part: float
+    ) -> float:
         per_s = part * self.completions_per_s()
         left_per_s = max(per_s - more_urgent_per_s, least_part * per_s)
-        return (ahead + 1) / max(left_per_s, part / COMPLETION_WINDOW_S)
+        # At most one request in a window is left if nothing else is known.
+        return max(left_per_s, part / COMPLETION_WINDOW_S)
+
+    def max_late_wait_s(self, call: _call.Call) -> float:
+        """Return the longest wait that leaves time for a late answer."""
+        return call.remaining_s - self.mean_response_s
 
     def max_wait_s(self, call: _call.Call) -> float:
         """Return the longest wait that still meets the objective."""
--- a/zinniadyke/requests/_lane_queue.py
+++ b/zinniadyke/requests/_lane_queue.py
@@ -25,12 +25,16 @@
         Order in the level; the lowest is granted first.
     scope
         What decides which resources they may use.
+    late
+        Whether they can no longer be answered within their objective; they
+        go behind all that can.
     """
 
     level: int | None
     priority: int
     rank: int
     scope: Hashable
+    late: bool = False
 
 
 class RankedFlow(_fair_queue.Flow, frozen=True, kw_only=True):
@@ -114,7 +118,8 @@
         """Whether an arrival is more urgent than all that it competes with."""
         own, rank = self._urgency(lane), self.rank_of(lane.rank)
         return all(
-            (self._urgency(other) > own and self.rank_of(other.rank) > rank)
+            (other.late and not lane.late)
+            or (self._urgency(other) > own and self.rank_of(other.rank) > rank)
             or not overlap(other.scope)
             for other in self.waiting_by_lane
         )
@@ -131,6 +136,8 @@
             if not self.waiting_by_lane:
                 self.finish_tags.clear()
             return False
+        if not all(lane.late for _, lane in heads):
+            heads = [found for found in heads if not found[1].late]
         _, first = min(heads, key=lambda found: found[0][:2])
         _, lane = min(
             (found for found in heads if found[1].level == first.level),
@@ -157,8 +164,8 @@
             if not self.pending_by_scope[scope]:
                 del self.pending_by_scope[scope]
 
-    def _urgency(self, lane: Lane) -> tuple[int, int]:
-        return max(lane.priority, 0), self.rank_of(lane.rank)
+    def _urgency(self, lane: Lane) -> tuple[bool, int, int]:
+        return lane.late, max(lane.priority, 0), self.rank_of(lane.rank)
 
     def _head(self, lane: Lane) -> _fair_queue.Entry | None:
         heap = self.lanes[lane]
