--- a/benchmarks/placement_ceilings.py
+++ b/benchmarks/placement_ceilings.py
@@ -54,7 +54,7 @@
 def simulate(scenario: _placement_workload.LoadScenario, seed: int) -> dict:
     """Return the results of one scenario."""
     options = bench.PlacementOptions(seconds=SECONDS, seed=seed)
-    run = _placement._ScenarioRun(scenario=scenario, options=options)
+    run = _placement.ScenarioRun(scenario=scenario, options=options)
     row = run.simulate()
     in_time = {
         kind.name: statistics.mean(
--- a/tests/bench/placement_comparison.py
+++ b/tests/bench/placement_comparison.py
@@ -35,7 +35,7 @@
         if candidate.name == name
     ]
     options = bench.PlacementOptions(seconds=DURATION_S, seed=seed)
-    run = _placement._ScenarioRun(scenario=scenario, options=options)
+    run = _placement.ScenarioRun(scenario=scenario, options=options)
     return msgspec.to_builtins(run.simulate())
 
 
--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -17,9 +17,12 @@
 from zinniadyke.bench._rollout import RolloutOptions
 from zinniadyke.bench._rollout import RolloutResult
 from zinniadyke.bench._rollout import run_rollout
+from zinniadyke.bench._shared_hosts import run_shared_hosts
+from zinniadyke.bench._shared_hosts import SHARED_HOSTS
 from zinniadyke.bench._strategies import STRATEGIES
 
 __all__ = [
+    "SHARED_HOSTS",
     "STRATEGIES",
     "Bound",
     "OpenLoopGenerator",
@@ -38,4 +41,5 @@
     "run_placement",
     "run_requests",
     "run_rollout",
+    "run_shared_hosts",
 ]
--- a/zinniadyke/bench/_placement.py
+++ b/zinniadyke/bench/_placement.py
@@ -1,5 +1,6 @@
 """Admission and placement benchmark: which requests are served."""
 
+from collections.abc import Callable
 import random
 import time
 
@@ -46,31 +47,42 @@
     _virtual_time.install()
     return PlacementResult(
         rows=[
-            _ScenarioRun(scenario=scenario, options=options).simulate()
+            ScenarioRun(scenario=scenario, options=options).simulate()
             for scenario in _placement_workload.SCENARIOS
         ]
     )
 
 
-class _ScenarioRun:
-    """Simulation of one load scenario on one fleet."""
+class ScenarioRun:
+    """Simulation of one load scenario on one fleet.
+
+    Parameters
+    ----------
+    make_fleet
+        Returns the fleet; called with the generator of the scenario.
+    """
 
     def __init__(
         self,
         *,
         scenario: _placement_workload.LoadScenario,
         options: PlacementOptions,
+        make_fleet: Callable[
+            [random.Random], _placement_fleet.Fleet
+        ] = lambda rng: _placement_fleet.Fleet(rng=rng),
     ) -> None:
+        """Start the fleet."""
         self.scenario = scenario
         self.seconds = options.seconds
         self.rng = random.Random(f"{options.seed} {scenario.name}")
         # Placement uses the global generator of the random module.
         random.seed(options.seed)
-        self.fleet = _placement_fleet.Fleet(rng=self.rng)
+        self.fleet = make_fleet(self.rng)
         self.capacities_per_s: list[float] = []
         self.outcomes: list[_placement_row.RequestOutcome] = []
 
     def simulate(self) -> _placement_row.PlacementRow:
+        """Run the scenario and summarize what callers got."""
         capacity = self.fleet.capacity_per_s
         simulated_requests = _placement_workload.generate_requests(
             self.scenario, capacity, self.seconds, self.rng
@@ -168,6 +180,7 @@
                 else:
                     self._read_stream(
                         engine,
+                        state,
                         simulated_request,
                         outcome,
                         received_tokens,
@@ -191,6 +204,7 @@
     def _read_stream(
         self,
         engine,
+        state,
         simulated_request,
         outcome,
         received_tokens: int,
@@ -216,6 +230,9 @@
                     tokens_out = job.events.get()
                     if tokens_out is None:
                         raise _simulated_engine.EngineCrashedError
+                    if engine.host is not None and job.tokens_out == 1:
+                        # The head of the answer states the slowness.
+                        state.record_slowness(engine.host.slowness())
                     outcome.record_event(
                         time.monotonic() - first_try_at,
                         received_tokens + tokens_out,
--- a/zinniadyke/bench/_placement_fleet.py
+++ b/zinniadyke/bench/_placement_fleet.py
@@ -4,12 +4,14 @@
 on virtual time; connections, agents and callers are simulated.
 """
 
+from collections.abc import Callable
 import random
 import time
 
 import eventlet
 
 from zinniadyke.bench import _placement_workload
+from zinniadyke.bench import _shared_host
 from zinniadyke.bench import _simulated_engine
 from zinniadyke import directory
 from zinniadyke.gateway import admission
@@ -61,21 +63,45 @@
 
 
 class Fleet:
-    """Engines, and entries that learn their load from reports."""
-
-    def __init__(self, *, rng: random.Random) -> None:
+    """Engines, and entries that learn their load from reports.
+
+    Parameters
+    ----------
+    kinds
+        Kinds of requests, for the capacity; empty for the usual ones.
+    make_host
+        Returns the host of an engine; None for one of constant speed.
+    mean_speed
+        Mean speed of the hosts, relative to usual.
+    """
+
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        profile: directory.EngineProfile = PROFILE,
+        entry_count: int = ENTRY_COUNT,
+        target_count: int = TARGET_COUNT,
+        kinds: tuple[_placement_workload.RequestKind, ...] = (),
+        make_host: Callable[[], _shared_host.SharedHost | None] = lambda: None,
+        mean_speed: float = 1.0,
+    ) -> None:
         """Start all engines and entries."""
         self.rng = rng
+        self.profile = profile
+        self.kinds = kinds
+        self.make_host = make_host
+        self.mean_speed = mean_speed
         self.engines: dict[ids.TargetId, _simulated_engine.SimulatedEngine]
         self.engines = {}
         self.registered_targets: dict[ids.TargetId, directory.Target] = {}
-        self.views = [directory.View() for _ in range(ENTRY_COUNT)]
+        self.views = [directory.View() for _ in range(entry_count)]
         configuration = directory.ServingConfiguration(
             version=1,
             routes={},
             services={
                 SERVICE: directory.Service(
-                    name=SERVICE, max_connections=200, engine=PROFILE
+                    name=SERVICE, max_connections=200, engine=profile
                 )
             },
             limits=directory.CallerLimits(),
@@ -83,7 +109,7 @@
         )
         for view in self.views:
             view.set_configuration(configuration)
-        for _ in range(TARGET_COUNT):
+        for _ in range(target_count):
             self.add_target()
         self.target_tables = [
             admission.TargetTable(view=v, version_bound_s=VERSION_BOUND_S)
@@ -107,16 +133,20 @@
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that all engines together can complete."""
-        step_s = PROFILE.step_s + PROFILE.step_per_request_s * PROFILE.slots
+        profile = self.profile
+        step_s = profile.step_s + profile.slots * (
+            profile.step_per_request_s
+            + profile.step_per_context_token_s * profile.mean_prompt_tokens
+        )
         request_time_s = _placement_workload.mean_engine_time_s(
-            step_s / PROFILE.slots, PROFILE.prefill_tokens_per_s
+            step_s / profile.slots, profile.prefill_tokens_per_s, self.kinds
         )
-        return len(self.engines) / request_time_s
+        return self.mean_speed * len(self.engines) / request_time_s
 
     @property
     def free_slot_share(self) -> float:
         """Share of free slots over all engines."""
-        slots = PROFILE.slots * len(self.engines)
+        slots = self.profile.slots * len(self.engines)
         used = sum(
             len(e.running) + len(e.waiting) for e in self.engines.values()
         )
@@ -127,14 +157,16 @@
         number = len(self.registered_targets)
         name = ids.TargetId(f"t{number}")
         self.engines[name] = _simulated_engine.SimulatedEngine(
-            profile=PROFILE, prefill_chunk_tokens=PREFILL_CHUNK_TOKENS
+            profile=self.profile,
+            prefill_chunk_tokens=PREFILL_CHUNK_TOKENS,
+            host=self.make_host(),
         )
         self.registered_targets[name] = directory.Target(
             id=name,
             service=SERVICE,
             address=f"10.0.0.{number}:80",
             zone=ZONES[number % len(ZONES)],
-            slots=PROFILE.slots,
+            slots=self.profile.slots,
             leaving=False,
             born_ms=0,
             weights={MODEL: 1},
@@ -164,7 +196,9 @@
                 self.target_tables, self.entries, strict=True
             ):
                 state = target_table.states[name]
-                state.entries = ENTRY_COUNT
+                state.entries = len(self.entries)
+                if engine.host is not None:
+                    state.record_slowness(engine.host.pace())
                 state.record_load(len(engine.running), len(engine.waiting))
                 entry.admit_waiting()
             eventlet.sleep(REPORT_INTERVAL_S)
@@ -192,6 +226,12 @@
             objective_at=now - waited_s + simulated_request.kind.objective_s,
             waited_s=waited_s,
             model=MODEL,
+            work=admission.RequestWork(
+                engine=self.profile,
+                prompt_tokens=simulated_request.prompt_tokens,
+                answer_tokens=simulated_request.kind.answer_tokens,
+                max_answer_tokens=simulated_request.kind.answer_tokens,
+            ),
             last_event_id="",
             tried=[],
         )
--- a/zinniadyke/bench/_placement_workload.py
+++ b/zinniadyke/bench/_placement_workload.py
@@ -103,6 +103,8 @@
         a third of the scenario.
     added_share
         Share of targets that are added after a third of the scenario.
+    kinds
+        Kinds of requests; empty for ``REQUEST_KINDS``.
     """
 
     name: str
@@ -110,6 +112,7 @@
     burst_load_factor: float | None = None
     crashed_share: float = 0.0
     added_share: float = 0.0
+    kinds: tuple[RequestKind, ...] = ()
 
 
 SCENARIOS = (
@@ -122,7 +125,9 @@
 
 
 def mean_engine_time_s(
-    engine_time_per_token_s: float, prefill_tokens_per_s: float
+    engine_time_per_token_s: float,
+    prefill_tokens_per_s: float,
+    kinds: tuple[RequestKind, ...] = (),
 ) -> float:
     """Return the mean engine time per request, with all slots in use.
 
@@ -138,7 +143,7 @@
             k.answer_tokens * engine_time_per_token_s
             + MEAN_SIZE_FACTOR * k.prompt_tokens / prefill_tokens_per_s
         )
-        for k in REQUEST_KINDS
+        for k in kinds or REQUEST_KINDS
     )
 
 
@@ -150,6 +155,7 @@
 ) -> list[SimulatedRequest]:
     """Return the open-loop requests of a scenario, ordered by time."""
     simulated_requests = []
+    kinds = scenario.kinds or REQUEST_KINDS
     at_s = 0.0
     weights = [WORKSPACE_WEIGHT_DECAY**n for n in range(WORKSPACE_COUNT)]
     while True:
@@ -159,7 +165,7 @@
         at_s += rng.expovariate(load_factor * capacity_per_s)
         if at_s >= duration_s:
             return simulated_requests
-        (kind,) = rng.choices(REQUEST_KINDS, [k.share for k in REQUEST_KINDS])
+        (kind,) = rng.choices(kinds, [k.share for k in kinds])
         (number,) = rng.choices(range(WORKSPACE_COUNT), weights)
         size_factor = MAX_SIZE_FACTOR ** rng.uniform(-1.0, 1.0)
         simulated_requests.append(
--- a/zinniadyke/bench/_simulated_engine.py
+++ b/zinniadyke/bench/_simulated_engine.py
@@ -4,6 +4,7 @@
 from eventlet import queue
 import msgspec
 
+from zinniadyke.bench import _shared_host
 from zinniadyke import directory
 
 
@@ -21,6 +22,7 @@
         when the engine has crashed.
     """
 
+    prompt_tokens: int
     prompt_tokens_left: int
     answer_tokens_left: int
     events: queue.LightQueue
@@ -34,10 +36,16 @@
     ----------
     prefill_chunk_tokens
         Maximum number of prompt tokens per step.
+    host
+        Host that it runs on; None for one of constant speed.
     """
 
     def __init__(
-        self, *, profile: directory.EngineProfile, prefill_chunk_tokens: int
+        self,
+        *,
+        profile: directory.EngineProfile,
+        prefill_chunk_tokens: int,
+        host: _shared_host.SharedHost | None = None,
     ) -> None:
         """Start an idle engine."""
         self.profile = profile
@@ -46,11 +54,14 @@
         self.running: list[Job] = []
         self.work_available = directory.Signal()
         self.is_crashed = False
+        self.host = host
+        self.work = eventlet.sleep if host is None else host.run
         self.task = eventlet.spawn(self._run)
 
     def submit(self, prompt_tokens: int, answer_tokens: int) -> Job:
         """Queue a request; its progress is sent to :attr:`Job.events`."""
         job = Job(
+            prompt_tokens=prompt_tokens,
             prompt_tokens_left=prompt_tokens,
             answer_tokens_left=answer_tokens,
             events=queue.LightQueue(),
@@ -104,8 +115,13 @@
             )
             job.prompt_tokens_left -= prompt_part_tokens
             prefilled_tokens += prompt_part_tokens
-        step_s = profile.step_s + profile.step_per_request_s * len(decoding)
-        eventlet.sleep(
+        step_s = (
+            profile.step_s
+            + profile.step_per_request_s * len(decoding)
+            + profile.step_per_context_token_s
+            * sum(j.prompt_tokens + j.tokens_out for j in decoding)
+        )
+        self.work(
             steps * step_s + prefilled_tokens / profile.prefill_tokens_per_s
         )
         for job in list(self.running):
--- a/zinniadyke/directory/_service.py
+++ b/zinniadyke/directory/_service.py
@@ -4,6 +4,9 @@
 
 from zinniadyke import ids
 
+# Largest number of prompt tokens in a step of engines that state none.
+PREFILL_CHUNK_TOKENS = 2048
+
 
 class EngineProfile(msgspec.Struct, frozen=True, kw_only=True):
     """Speed and capacity of the model engines of a service.
@@ -35,6 +38,8 @@
         Size of a piece.
     mean_prompt_tokens, mean_answer_tokens
         Mean number of tokens of a request's prompt and answer.
+    prefill_chunk_tokens
+        Largest number of prompt tokens that a token step processes.
     """
 
     slots: int
@@ -51,6 +56,7 @@
     chunk_bytes: int
     mean_prompt_tokens: float
     mean_answer_tokens: float
+    prefill_chunk_tokens: int = PREFILL_CHUNK_TOKENS
 
 
 class Origin(msgspec.Struct, frozen=True, kw_only=True):
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -98,7 +98,9 @@
         deadline = time.monotonic() + min(RETRY_TOKEN_WAIT_S, call.remaining_s)
         while True:
             candidates = self.target_table.candidates(call.scope, call.tried)
-            state = self._choose_within_limits(candidates, lambda _: True)
+            state = self._choose_within_limits(
+                call, candidates, lambda _: True
+            )
             if state is not None:
                 return self._reserve_slot(state)
             if not candidates or time.monotonic() >= deadline:
@@ -206,12 +208,14 @@
 
     def _choose_target(self, call) -> _target_state.TargetState | None:
         return self._choose_within_limits(
+            call,
             self.target_table.candidates(call.scope, call.tried),
             lambda state: self._free_slots(state) > 0,
         )
 
     def _choose_within_limits(
         self,
+        call: _call.Call,
         candidates: list[_target_state.TargetState],
         has_free_slot: Callable[[_target_state.TargetState], bool],
     ) -> _target_state.TargetState | None:
@@ -222,11 +226,11 @@
         target that this request would have gone to, or else at the one that
         has one first.
         """
-        preferred = self._choose(candidates, has_free_slot)
+        preferred = self._choose(call, candidates, has_free_slot)
         if preferred is None or preferred.within_limit:
             return preferred
         usable = self._choose(
-            candidates, lambda s: s.within_limit and has_free_slot(s)
+            call, candidates, lambda s: s.within_limit and has_free_slot(s)
         )
         if usable is not None:
             self.request_token(preferred)
@@ -236,6 +240,7 @@
 
     def _choose(
         self,
+        call: _call.Call,
         candidates: list[_target_state.TargetState],
         has_free_slot: Callable[[_target_state.TargetState], bool],
     ) -> _target_state.TargetState | None:
@@ -244,6 +249,7 @@
             self.zone_penalty,
             has_free_slot,
             mean_response_s=self.mean_response_s,
+            work=call.work,
         )
 
     def _request_tokens(
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -7,6 +7,7 @@
 
 from zinniadyke import directory
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _scope
 from zinniadyke import ids
 
@@ -32,6 +33,8 @@
         Regions whose targets may run the request; None means all regions.
     content
         Digest of method, host, path, workspace and body.
+    work
+        Tokens of the request and the arithmetic of the engines.
     tried
         Targets that were attempted, in order.
     last_event_id
@@ -46,6 +49,9 @@
     load_at_send, load_age_s
         Known requests at the target when the first attempt started, and the
         age of the target's load report.
+    predicted_s
+        Time to the first event that was predicted then; None for a target
+        that does not report its slowness.
     longest_gap_s
         Longest time between two parts of the response.
     """
@@ -63,6 +69,7 @@
     allowed_regions: frozenset[ids.RegionName] | None = None
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
     content: ids.RequestContent = ids.RequestContent("")
+    work: _request_work.RequestWork = _request_work.UNKNOWN_WORK
     last_event_id: str
     tried: list[ids.TargetId] = []
     sent_at: float | None = None
@@ -74,6 +81,7 @@
     max_wait_s: float = 0.0
     load_at_send: int = 0
     load_age_s: float = 0.0
+    predicted_s: float | None = None
 
     @property
     def suspects(self) -> frozenset[ids.Suspect]:
--- a/zinniadyke/gateway/_call_builder.py
+++ b/zinniadyke/gateway/_call_builder.py
@@ -7,6 +7,7 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_wait
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _scope
 from zinniadyke import ids
 from zinniadyke import platform
@@ -55,6 +56,7 @@
     deadline_s = _deadline_s(request)
     waited_s = wait_estimator.waited_s(route.name, deadline_s)
     wait_s = min(deadline_s, route.timeout_s)
+    service = choose_service(route)
     priority = route.priority
     if workspace is not None and workspace.priority is not None:
         priority = workspace.priority
@@ -62,7 +64,7 @@
         request=request,
         id=ids.RequestId(request_id),
         route=route,
-        service=choose_service(route),
+        service=service,
         workspace=workspace.name if workspace else None,
         priority=priority,
         deadline=request.arrived_at + wait_s,
@@ -85,10 +87,28 @@
             # Without a body, only the header tells prompts apart.
             request.body or request.header(headers.PREFIX_HASH).encode(),
         ),
+        work=_estimate_work(request, configuration, service),
         last_event_id=request.header(headers.LAST_EVENT_ID),
     )
 
 
+def _estimate_work(
+    request: _request.CallerRequest,
+    configuration: directory.ServingConfiguration,
+    service: ids.ServiceName,
+) -> _request_work.RequestWork:
+    found = configuration.services.get(service)
+    if found is None or found.engine is None:
+        return _request_work.UNKNOWN_WORK
+    return _request_work.estimate_work(
+        platform.parse_token_counts(
+            request.header(headers.TOKEN_COUNTS),
+            request.header(headers.LENGTH_HINT),
+        ),
+        found.engine,
+    )
+
+
 def choose_service(route: directory.Route) -> ids.ServiceName:
     """Return one of the route's services, drawn by weight.
 
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -19,6 +19,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _crash_guard
 from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _response_relay
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
@@ -172,6 +173,10 @@
             call.sent_at = time.monotonic()
             call.load_at_send = state.load
             call.load_age_s = call.sent_at - state.reported_at
+            call.predicted_s = _placement.predict_first_event_s(
+                state, call.work
+            )
+        state.record_sent(call.work.kv_tokens)
         return _attempt.Attempt(
             call=call,
             state=state,
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -306,6 +306,8 @@
                 fields["patience_ms"] = _ms_or_none(call.max_wait_s)
             fields["load"] = call.load_at_send
             fields["load_age_ms"] = _ms_or_none(call.load_age_s)
+            if call.predicted_s is not None:
+                fields["predicted_ms"] = _ms_or_none(call.predicted_s)
             fields["gap_ms"] = math.ceil(call.longest_gap_s * MS_PER_S)
         LOG.info("request", extra=fields)
 
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -11,6 +11,7 @@
 from zinniadyke import directory
 from zinniadyke.gateway import _target_table
 from zinniadyke import reports
+from zinniadyke import telemetry
 from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
@@ -82,8 +83,25 @@
             )
             for host_ip in sorted(self.target_table.used_hosts()):
                 self._send(message, host_ip)
+            self._gauge_slowness()
             self.named.wait(SUBSCRIBE_PERIOD_S)
 
+    def _gauge_slowness(self) -> None:
+        """Publish the mean slowness of each service's used targets."""
+        now = time.monotonic()
+        for service, states in self.target_table.used.items():
+            factors = [
+                s.slowness.factor(now)
+                for s in states
+                if s.slowness is not None
+            ]
+            if factors:
+                telemetry.gauge(
+                    telemetry.Metric.HOST_SLOWNESS,
+                    sum(factors) / len(factors),
+                    label=service,
+                )
+
     def send(self, message: reports.Message, host_ip: str) -> None:
         """Send a message to the agent on a host."""
         self._send(reports.encode(message), host_ip)
@@ -146,6 +164,13 @@
             )
             state.weights = report.weights
             state.record_agent_limit(report.limit_per_s)
+            if report.pace is not None:
+                state.record_slowness(report.pace)
+            state.record_memory(
+                report.kv_used,
+                report.kv_total,
+                self.target_table.layers(target.service),
+            )
             if report.leaving:
                 leaving.append(target)
             self.on_report()
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -10,6 +10,8 @@
 import random
 import time
 
+from zinniadyke.gateway import _predicted_time
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _target_state
 
 # Penalties as a number of requests in flight. Traffic between regions is
@@ -25,6 +27,9 @@
 # Penalty, in requests, of each second that reports wait in a target's link;
 # requests and events wait there as long.
 LINK_DELAY_LOAD_PER_S = 10.0
+# Penalty, in requests, of a target whose memory a request may exceed, above
+# all others: it gets the request only if no other may.
+NO_MEMORY_LOAD = 1e6
 # Shorter delays are usual.
 MIN_LINK_DELAY_S = 0.1
 
@@ -35,6 +40,7 @@
     has_free_slot: Callable[[_target_state.TargetState], bool],
     *,
     mean_response_s: float,
+    work: _request_work.RequestWork = _request_work.UNKNOWN_WORK,
 ) -> _target_state.TargetState | None:
     """Return the target with the lowest cost, or None if all are full.
 
@@ -48,6 +54,8 @@
     mean_response_s
         Mean time of a complete response, in seconds. A target that
         switches weights sooner is likely to interrupt the response.
+    work
+        Tokens of the request and the arithmetic of the engines.
     """
     now = time.monotonic()
     best, best_cost = None, float("inf")
@@ -59,6 +67,8 @@
             state.switches_at - now, mean_response_s
         )
         cost += _link_load(state)
+        if state.reports_host:
+            cost += _host_load(state, work, now, mean_response_s)
         cost += random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
@@ -79,6 +89,66 @@
     return LINK_DELAY_LOAD_PER_S * delay_s
 
 
+def _host_load(
+    state: _target_state.TargetState,
+    work: _request_work.RequestWork,
+    now: float,
+    mean_response_s: float,
+) -> float:
+    """Return the penalty of a slow host or of too little memory."""
+    load = 0.0
+    if state.slowness is not None:
+        load = slowness_load(
+            state, state.slowness.factor(now), work, mean_response_s
+        )
+    free_tokens = state.kv_free_tokens
+    if free_tokens is not None and work.kv_tokens > free_tokens:
+        load += NO_MEMORY_LOAD
+    return load
+
+
+def slowness_load(
+    state: _target_state.TargetState,
+    slowness: float,
+    work: _request_work.RequestWork,
+    mean_response_s: float,
+) -> float:
+    """Return the penalty of a slow host, in requests; 0 at usual speed.
+
+    Load: hosts that are slow for some hundred milliseconds at a time, whose
+    targets would get as many requests as the others.
+    """
+    return (state.load + 1) * (slowness - 1.0)
+
+
+def predict_first_event_s(
+    state: _target_state.TargetState, work: _request_work.RequestWork
+) -> float | None:
+    """Return the predicted time to an engine's first event, in seconds.
+
+    None if the target does not report its slowness or runs no model.
+    """
+    if state.slowness is None or work.engine is None:
+        return None
+    return _engine_first_event_s(
+        state, state.slowness.factor(time.monotonic()), work
+    )
+
+
+def _engine_first_event_s(
+    state: _target_state.TargetState,
+    slowness: float,
+    work: _request_work.RequestWork,
+) -> float:
+    pending = max(state.in_flight - state.in_flight_at_report, 0)
+    return _predicted_time.first_event_s(
+        work,
+        running=max(state.load - pending, 0),
+        pending=pending,
+        slowness=slowness,
+    )
+
+
 def _interruption_probability(
     remaining_s: float, mean_response_s: float
 ) -> float:
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -5,7 +5,9 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _kv_memory
 from zinniadyke.gateway import _report_delay
+from zinniadyke.gateway import _slowness
 from zinniadyke.gateway import _token_holder
 from zinniadyke import telemetry
 
@@ -77,6 +79,13 @@
     switches_at
         Monotonic time at which the target will switch its weights, which
         interrupts its running requests; infinite if none is planned.
+    slowness
+        How much longer than usual work takes on the target's host; None if
+        the target has not reported it.
+    kv_memory
+        Free KV cache; None if the target has not reported it.
+    reports_host
+        Whether the target has reported its slowness or its KV cache.
     """
 
     def __init__(self, *, target: directory.Target) -> None:
@@ -104,6 +113,10 @@
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
         self.unlisted_at = float("-inf")
+        self.slowness: _slowness.Slowness | None = None
+        self.kv_memory: _kv_memory.KvMemory | None = None
+        self.reports_host = False
+        self.absurd_figure_logged = False
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
@@ -164,6 +177,66 @@
             telemetry.Metric.TARGET_LIMITS, label=self.target.service
         )
 
+    def record_slowness(self, factor: float) -> None:
+        """Record by which factor work takes longer on the target's host.
+
+        Parameters
+        ----------
+        factor
+            1.0 is usual. Absurd figures are logged once and ignored.
+        """
+        if not _slowness.is_plausible(factor):
+            self._log_absurd_figure("slowness", factor)
+        elif self.slowness is None:
+            self.slowness = _slowness.Slowness(factor)
+            self.reports_host = True
+        else:
+            self.slowness.record(factor)
+
+    def record_memory(self, kv_used: int, kv_total: int, layers: int) -> None:
+        """Record the used KV cache and its capacity, in tokens x layers.
+
+        Parameters
+        ----------
+        kv_total
+            0 if unknown, which has no effect.
+        layers
+            Layers of the model.
+        """
+        if not kv_total:
+            return
+        if not 0 <= kv_used <= kv_total:
+            self._log_absurd_figure("kv_used", kv_used)
+            return
+        if self.kv_memory is None:
+            self.kv_memory = _kv_memory.KvMemory()
+            self.reports_host = True
+        self.kv_memory.record_report((kv_total - kv_used) / max(layers, 1))
+
+    def record_sent(self, kv_tokens: int) -> None:
+        """Record a sent request and the tokens that it may hold."""
+        if self.kv_memory is not None:
+            self.kv_memory.record_sent(kv_tokens)
+
+    @property
+    def kv_free_tokens(self) -> float | None:
+        """Tokens that fit into the free KV cache; None if unknown."""
+        return None if self.kv_memory is None else self.kv_memory.free_tokens
+
+    def _log_absurd_figure(self, name: str, value: float) -> None:
+        if self.absurd_figure_logged:
+            return
+        self.absurd_figure_logged = True
+        LOG.warning(
+            "absurd figure ignored",
+            extra={
+                "target": self.target.id,
+                "service": self.target.service,
+                "figure": name,
+                "value": value,
+            },
+        )
+
     def record_success(self) -> None:
         """Reset the failure count and end an ejection."""
         self.consecutive_failures = 0
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -299,6 +299,12 @@
             and (not engine or s.holds_weights)
         ]
 
+    def layers(self, service: ids.ServiceName) -> int:
+        """Return the layers of a service's model; 0 without engines."""
+        configuration = self.view.configuration
+        found = configuration and configuration.services.get(service)
+        return found.engine.layers if found and found.engine else 0
+
     def has_engine(self, service: ids.ServiceName) -> bool:
         """Whether a service's targets run models."""
         configuration = self.view.configuration
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -21,6 +21,8 @@
 from zinniadyke.platform._target_api import OriginClient
 from zinniadyke.platform._target_limit import parse_limit
 from zinniadyke.platform._template import render_template
+from zinniadyke.platform._token_counts import parse_token_counts
+from zinniadyke.platform._token_counts import TokenCounts
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
 
@@ -39,12 +41,14 @@
     "Revision",
     "StoreClient",
     "StoredObject",
+    "TokenCounts",
     "compare_and_swap",
     "follow_configuration",
     "follow_targets",
     "follow_versions",
     "parse_limit",
     "parse_retry_after",
+    "parse_token_counts",
     "render_template",
     "shared_prompt_parts",
     "update",
--- a/zinniadyke/platform/_decode_configuration.py
+++ b/zinniadyke/platform/_decode_configuration.py
@@ -56,6 +56,8 @@
     # ms per million pairs of a token and an earlier token.
     pairs_per_m: float = 0.0
     stride: int = 1
+    # Largest number of prompt tokens in a step.
+    chunk: float = 2048.0
     models: list[_EngineModel] = []
     layers: int = 0
     chunks: int = 0
@@ -211,4 +213,5 @@
         chunk_bytes=wire.chunk_bytes,
         mean_prompt_tokens=wire.usual.prompt,
         mean_answer_tokens=wire.usual.answer,
+        prefill_chunk_tokens=max(int(wire.chunk), 1),
     )
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -14,6 +14,7 @@
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _host_figures
 from zinniadyke.platform import _retry_after
 from zinniadyke.platform import _target_limit
 from zinniadyke.platform import headers as header_names
@@ -53,6 +54,12 @@
     limit_per_s
         Requests a second that it takes from all entries together; None if
         it names no limit.
+    pace
+        Factor by which work takes longer than usual on its host, as stated;
+        None if it states none.
+    kv_used, kv_total
+        KV cache that cannot be freed, and its capacity, in tokens x layers;
+        0 if unknown.
     """
 
     running: int
@@ -63,6 +70,9 @@
     weights: dict[ids.ModelName, ids.WeightsVersion]
     leaving: bool = False
     limit_per_s: float | None = None
+    pace: float | None = None
+    kv_used: int = 0
+    kv_total: int = 0
 
 
 class _Report(msgspec.Struct):
@@ -74,6 +84,10 @@
     waiting: int = 0
     running: int = 0
     born: int = 0
+    # Any type, so that an unreadable figure does not cost the others.
+    pace: object = None
+    kv_used: object = 0
+    kv_total: object = 0
 
 
 class _Held(msgspec.Struct):
@@ -156,6 +170,11 @@
                 answer.headers.get(header_names.TARGET_LIMIT, ""),
                 self.address,
             ),
+            pace=_host_figures.choose_pace(
+                answer.headers.get(header_names.TARGET_LOAD, ""), decoded.pace
+            ),
+            kv_used=_host_figures.read_tokens(decoded.kv_used),
+            kv_total=_host_figures.read_tokens(decoded.kv_total),
         )
 
     def staged_pieces(self, model: str) -> set[int]:
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -16,6 +16,8 @@
 MODEL = "x-zinniadyke-model"
 # Number of prompt tokens and largest number of output tokens.
 TOKEN_COUNTS = "x-zinniadyke-token-counts"
+# Estimated number of output tokens.
+LENGTH_HINT = "x-zinniadyke-length-hint"
 PREFIX_HASH = "x-zinniadyke-prefix-hash"
 # The target's signature on its answer.
 SIGNATURE = "x-zinniadyke-server-stamp"
@@ -28,7 +30,8 @@
 # Requests a second that the target takes from all entries together, for as
 # long as its answers say so.
 TARGET_LIMIT = "server-limit"
-# Numbers of running requests, waiting requests and slots.
+# Numbers of running requests, waiting requests and slots; and, in percent, how
+# long work takes on the host, where 100 is usual.
 TARGET_LOAD = "x-zinniadyke-server-load"
 # Version of the weights that generated the answer.
 WEIGHTS_VERSION = "x-zinniadyke-weight-versions"
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -34,6 +34,9 @@
 # which take a second or two, on targets where they are not interrupted.
 SWITCH_NOTICE_S = 2.0
 MS_PER_S = 1000.0
+# Figures are rounded, so that small changes cause no additional datagrams.
+PACE_DECIMALS = 1
+KV_STEPS = 64
 
 
 class LoadReporter:
@@ -156,6 +159,9 @@
                 local_entries=len(self.local_subscribers),
                 sent_ms=int(uptime.now_s() * MS_PER_S),
                 limit_per_s=report.limit_per_s,
+                pace=_round_pace(report.pace),
+                kv_used=_round_up(report.kv_used, report.kv_total // KV_STEPS),
+                kv_total=report.kv_total,
             )
         )
 
@@ -234,6 +240,15 @@
         )
 
 
+def _round_pace(pace: float | None) -> float | None:
+    # A figure below a step stays as stated: 0 is absurd.
+    return pace and (round(pace, PACE_DECIMALS) or pace)
+
+
+def _round_up(value: int, step: int) -> int:
+    return -(-value // step) * step if step > 0 else value
+
+
 def report_interval_s(report: platform.EngineReport | None) -> float:
     """Return the time until the next reading of the load, in seconds.
 
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -43,6 +43,8 @@
     # Requests that were found to crash targets, equal ones once.
     CONTENTS_REFUSED = "contents_refused"
     QUEUE_LENGTH = "queue_length"
+    # Mean over the used targets of a service that report it.
+    HOST_SLOWNESS = "host_slowness"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
 
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -125,6 +125,7 @@
     name = "bench placement"
     description = "Measures who is served on heavy loads; no network."
     options = [
+        option("load", None, "'shared hosts', or all", flag=False, default=""),
         option("seconds", None, "Time a load.", flag=False, default="30"),
         option("seed", None, "Seed.", flag=False, default="1"),
     ]
@@ -133,13 +134,18 @@
         """Run the command."""
         from zinniadyke import bench
 
-        result = bench.run_placement(
-            bench.PlacementOptions(
-                seconds=positive_integer(self, "seconds"),
-                seed=positive_integer(self, "seed"),
-            )
+        options = bench.PlacementOptions(
+            seconds=positive_integer(self, "seconds"),
+            seed=positive_integer(self, "seed"),
         )
-        return print_result(self, result)
+        load = self.option("load")
+        if not load:
+            return print_result(self, bench.run_placement(options))
+        if load != bench.SHARED_HOSTS:
+            raise errors.UserError(f"--load must be '{bench.SHARED_HOSTS}'")
+        for row in bench.run_shared_hosts(options):
+            self.line(json.dumps(msgspec.to_builtins(row)))
+        return 0
 
 
 def overload_options(command: Command):
