--- a/zinniadyke/bench/_placement.py
+++ b/zinniadyke/bench/_placement.py
@@ -172,6 +172,7 @@
                     raise
                 return
             call.tried.append(state.target.id)
+            state.record_sent(call.work.kv_tokens)
             sent_at = time.monotonic()
             engine = self.fleet.engines.get(state.target.id)
             try:
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -44,6 +44,10 @@
         Requests of all entries that run or wait there, as last reported.
     in_flight_at_report
         ``in_flight`` when the last report arrived.
+    reported_waiting
+        Requests of all entries that wait there, as last reported.
+    sent_since_report
+        Requests that this entry has sent since the last report.
     agent_reported_at
         Monotonic time of the last report of the target's agent; None before
         the first.
@@ -93,6 +97,8 @@
         self.target = target
         self.in_flight = 0
         self.reported_requests = 0
+        self.reported_waiting = 0
+        self.sent_since_report = 0
         self.in_flight_at_report = 0
         self.reported_at = float("-inf")
         self.agent_reported_at: float | None = None
@@ -121,6 +127,8 @@
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
         self.reported_requests = running + waiting
+        self.reported_waiting = waiting
+        self.sent_since_report = 0
         self.in_flight_at_report = self.in_flight
         self.reported_at = time.monotonic()
         self.slot_share = _draw_slot_share(
@@ -215,6 +223,7 @@
 
     def record_sent(self, kv_tokens: int) -> None:
         """Record a sent request and the tokens that it may hold."""
+        self.sent_since_report += 1
         if self.kv_memory is not None:
             self.kv_memory.record_sent(kv_tokens)
 
