--- a/tests/gateway/test_slow_hosts.py
+++ b/tests/gateway/test_slow_hosts.py
@@ -152,7 +152,7 @@
         state.record_memory(70, total, layers=8)
     state.record_sent(10**9)
     assert state.kv_free_tokens is None
-    assert not state.reports_host
+    assert state.host is None
 
 
 @pytest.mark.parametrize("work", [WORK, _request_work.UNKNOWN_WORK])
@@ -205,14 +205,10 @@
     )
     work = msgspec.structs.replace(WORK, engine=engine)
     # Half a pass and a pass of 5 x 14 ms, prefill of 100 + 10 ms.
-    predicted_s = _predicted_time.first_event_s(
-        work, running=4, pending=0, slowness=2.0
-    )
-    assert predicted_s == pytest.approx(2 * (0.035 + 0.07 + 0.11))
+    predict = _predicted_time.predict_first_event(work)
+    assert predict(4, 0, 2.0) == pytest.approx(2 * (0.035 + 0.07 + 0.11))
     # A second pass, as prompts exceed 5 x 2,048 tokens.
     long = msgspec.structs.replace(work, prompt_tokens=10_241)
-    predicted_s = _predicted_time.first_event_s(
-        long, running=0, pending=0, slowness=1.0
-    )
+    predict = _predicted_time.predict_first_event(long)
     prefill_s = 1.0241 + 1e-8 * 10_241**2
-    assert predicted_s == pytest.approx(0.1 + prefill_s)
+    assert predict(0, 0, 1.0) == pytest.approx(0.1 + prefill_s)
--- a/zinniadyke/bench/_shared_hosts.py
+++ b/zinniadyke/bench/_shared_hosts.py
@@ -13,6 +13,7 @@
 from zinniadyke.bench import _virtual_time
 from zinniadyke import directory
 from zinniadyke.gateway import _placement as gateway_placement
+from zinniadyke.gateway import admission
 
 SHARED_HOSTS = "shared hosts"
 LOAD_FACTORS = (0.6, 1.0, 1.4)
@@ -51,18 +52,20 @@
 ENTRY_COUNT = 6
 TARGET_COUNT = 26
 
-# Returns the penalty of a slow host, as ``_placement.slowness_load`` does.
-Method = Callable[..., float]
+# Takes the place of ``_placement.slowness_load``.
+Method = Callable[[admission.RequestWork], gateway_placement.SlownessLoad]
 
 
-def count(state, slowness, work) -> float:
+def count(work: admission.RequestWork) -> gateway_placement.SlownessLoad:
     """Ignore the slowness."""
-    return 0.0
+    return lambda state, load, slowness: 0.0
 
 
-def count_times_slowness(state, slowness, work) -> float:
+def count_times_slowness(
+    work: admission.RequestWork,
+) -> gateway_placement.SlownessLoad:
     """Multiply the count, with this request, by the slowness."""
-    return (state.load + 1) * (slowness - 1.0)
+    return lambda state, load, slowness: (load + 1) * (slowness - 1.0)
 
 
 METHODS: dict[str, Method] = {
--- a/zinniadyke/gateway/_kv_memory.py
+++ b/zinniadyke/gateway/_kv_memory.py
@@ -31,17 +31,22 @@
 
     def record_sent(self, tokens: int) -> None:
         """Record the largest number of tokens that a sent request needs."""
-        if self.is_known:
+        if self._is_known(time.monotonic()):
             self.sent.append((time.monotonic(), tokens))
 
-    @property
-    def is_known(self) -> bool:
-        """Whether a recent report tells the free cache."""
-        return time.monotonic() <= self.reported_at + REPORT_MAX_AGE_S
+    def free_tokens(self, now: float) -> float | None:
+        """Return the tokens that there is memory for; None if unknown.
 
-    @property
-    def free_tokens(self) -> float | None:
-        """Tokens that the target has memory for; None if unknown."""
-        if not self.is_known:
+        Parameters
+        ----------
+        now
+            Monotonic time, in seconds.
+        """
+        if not self._is_known(now):
             return None
+        if not self.sent:
+            return self.reported_free_tokens
         return self.reported_free_tokens - sum(n for _, n in self.sent)
+
+    def _is_known(self, now: float) -> bool:
+        return now <= self.reported_at + REPORT_MAX_AGE_S
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -36,6 +36,9 @@
 # Shorter delays are usual.
 MIN_LINK_DELAY_S = 0.1
 
+# Maps a target, its load and the slowness of its host to a penalty.
+SlownessLoad = Callable[[_target_state.TargetState, int, float], float]
+
 
 def choose_target(
     candidates: Iterable[_target_state.TargetState],
@@ -62,16 +65,19 @@
     """
     now = time.monotonic()
     best, best_cost = None, float("inf")
+    host_load = None
     for state in candidates:
         if not has_free_slot(state):
             continue
-        cost = state.load + zone_penalty(state.target.zone)
+        load = state.load
+        cost = load + zone_penalty(state.target.zone)
         cost += INTERRUPTED_STREAM_LOAD * _interruption_probability(
             state.switches_at - now, mean_response_s
         )
         cost += _link_load(state)
-        if state.reports_host:
-            cost += _host_load(state, work, now)
+        if state.host is not None:
+            host_load = host_load or _host_load(work, now)
+            cost += host_load(state, load)
         cost += random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
@@ -93,26 +99,30 @@
 
 
 def _host_load(
-    state: _target_state.TargetState,
-    work: _request_work.RequestWork,
-    now: float,
-) -> float:
-    """Return the penalty of a slow host or of too little memory."""
-    load = 0.0
-    if state.slowness is not None:
-        load = slowness_load(state, state.slowness.factor(now), work)
-    free_tokens = state.kv_free_tokens
-    if free_tokens is not None and work.kv_tokens > free_tokens:
-        load += NO_MEMORY_LOAD
-    return load
-
-
-def slowness_load(
-    state: _target_state.TargetState,
-    slowness: float,
-    work: _request_work.RequestWork,
-) -> float:
-    """Return what replaces the count of requests at a target, less the count.
+    work: _request_work.RequestWork, now: float
+) -> Callable[[_target_state.TargetState, int], float]:
+    """Return what maps a target and its load to a penalty.
+
+    The penalty is for a slow host and for too little memory.
+    """
+    penalty = slowness_load(work)
+
+    def host_load(state: _target_state.TargetState, load: int) -> float:
+        figures = state.host
+        total = 0.0
+        if figures.slowness is not None:
+            total = penalty(state, load, figures.slowness.factor(now))
+        if figures.kv_memory is not None:
+            free_tokens = figures.kv_memory.free_tokens(now)
+            if free_tokens is not None and work.kv_tokens > free_tokens:
+                total += NO_MEMORY_LOAD
+        return total
+
+    return host_load
+
+
+def slowness_load(work: _request_work.RequestWork) -> SlownessLoad:
+    """Return what replaces the count of requests at targets, less the count.
 
     For plain services, it is the count with this request times the slowness.
     For engines, it is the predicted time to the first event. There, a usual
@@ -124,14 +134,23 @@
     then delay one another.
     """
     if work.engine is None:
-        return (state.load + 1) * (slowness - 1.0)
-    middle = state.target.slots / 2
-    usual_s = _predicted_time.first_event_s(
-        work, running=middle, pending=0, slowness=1.0
-    )
-    predicted_s = _engine_first_event_s(state, slowness, work)
-    later_s = predicted_s - usual_s
-    return middle + later_s / PREDICTED_S_PER_REQUEST - state.load
+        return lambda state, load, slowness: (load + 1) * (slowness - 1.0)
+    predict = _predicted_time.predict_first_event(work)
+    usual_s: dict[int, float] = {}
+
+    def engine_load(
+        state: _target_state.TargetState, load: int, slowness: float
+    ) -> float:
+        slots = state.target.slots
+        if slots not in usual_s:
+            usual_s[slots] = predict(slots / 2, 0, 1.0)
+        pending = state.host.pending
+        later_s = (
+            predict(max(load - pending, 0), pending, slowness) - usual_s[slots]
+        )
+        return slots / 2 + later_s / PREDICTED_S_PER_REQUEST - load
+
+    return engine_load
 
 
 def predict_first_event_s(
@@ -143,23 +162,11 @@
     """
     if state.slowness is None or work.engine is None:
         return None
-    return _engine_first_event_s(
-        state, state.slowness.factor(time.monotonic()), work
-    )
-
-
-def _engine_first_event_s(
-    state: _target_state.TargetState,
-    slowness: float,
-    work: _request_work.RequestWork,
-) -> float:
-    # Their prompts are not processed yet.
-    pending = state.sent_since_report + state.reported_waiting
-    return _predicted_time.first_event_s(
-        work,
-        running=max(state.load - pending, 0),
-        pending=pending,
-        slowness=slowness,
+    pending = state.host.pending
+    return _predicted_time.predict_first_event(work)(
+        max(state.load - pending, 0),
+        pending,
+        state.slowness.factor(time.monotonic()),
     )
 
 
--- a/zinniadyke/gateway/_predicted_time.py
+++ b/zinniadyke/gateway/_predicted_time.py
@@ -1,63 +1,59 @@
-"""Predicts how long targets take for requests, without I/O.
+"""Predicts how long engines take for requests, without I/O.
 
-Times are in seconds on a host of the given slowness; 1 is usual.
+Times are in seconds. Slowness is the factor by which work takes longer than
+usual.
 """
 
+from collections.abc import Callable
 import math
 
 from zinniadyke import directory
 from zinniadyke.gateway import _request_work
 
+# Predicts from the requests that generate tokens, the requests ahead whose
+# prompts are not processed yet, and the slowness.
+Predictor = Callable[[float, float, float], float]
 
-def first_event_s(
-    work: _request_work.RequestWork,
-    *,
-    running: float,
-    pending: float,
-    slowness: float,
-) -> float:
-    """Return the predicted time to the first event of an engine's answer.
+
+def predict_first_event(work: _request_work.RequestWork) -> Predictor:
+    """Return what predicts the time to the first event of an answer.
 
     It is the rest of the pass in progress, the prefill of the requests that
     have not begun and of this one, the passes in which that happens, and the
-    wait for a slot where none is free.
+    wait for a slot where none is free. What depends only on the request is
+    computed once, as there may be many targets.
 
     Load: hosts that turn slow, and prompts of others that arrive with this
     one.
-
-    Parameters
-    ----------
-    running
-        Requests for which the engine generates tokens.
-    pending
-        Requests ahead of this one whose prompts are not processed yet.
     """
     engine = work.engine
-    duration_s = pass_s(engine, running)
-    ahead_tokens = pending * engine.mean_prompt_tokens
-    passes = math.ceil(
-        (ahead_tokens + work.prompt_tokens)
-        / (engine.prefill_chunk_tokens * max(engine.steps_per_pass, 1))
-    )
-    rest_s = duration_s / 2 if running else 0.0
-    return slowness * (
-        rest_s
-        + max(passes, 1) * duration_s
-        + pending * prefill_s(engine, engine.mean_prompt_tokens)
-        + prefill_s(engine, work.prompt_tokens)
-        + slot_wait_s(engine, running, pending)
-    )
+    steps = max(engine.steps_per_pass, 1)
+    slots = max(engine.slots, 1)
+    budget_tokens = engine.prefill_chunk_tokens * steps
+    empty_pass_s = pass_s(engine, 0)
+    pass_per_request_s = pass_s(engine, 1) - empty_pass_s
+    prefill_others_s = prefill_s(engine, engine.mean_prompt_tokens)
+    prefill_this_s = prefill_s(engine, work.prompt_tokens)
+    # Mean time between the ends of answers while all slots are in use.
+    slot_s = engine.mean_answer_tokens / steps * pass_s(engine, slots) / slots
 
+    def predict(running: float, pending: float, slowness: float) -> float:
+        duration_s = empty_pass_s + pass_per_request_s * running
+        tokens = pending * engine.mean_prompt_tokens + work.prompt_tokens
+        passes = 1 if tokens <= budget_tokens else tokens / budget_tokens
+        total_s = (
+            math.ceil(passes) * duration_s
+            + pending * prefill_others_s
+            + prefill_this_s
+        )
+        if running:
+            total_s += duration_s / 2
+        ended = running + pending + 1 - slots
+        if ended > 0:
+            total_s += ended * slot_s
+        return slowness * total_s
 
-def slot_wait_s(
-    engine: directory.EngineProfile, running: float, pending: float
-) -> float:
-    """Return the time until a slot is free, in seconds."""
-    ended = running + pending + 1 - engine.slots
-    if ended <= 0:
-        return 0.0
-    passes = engine.mean_answer_tokens / max(engine.steps_per_pass, 1)
-    return ended * passes * pass_s(engine, engine.slots) / engine.slots
+    return predict
 
 
 def pass_s(engine: directory.EngineProfile, running: float) -> float:
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -5,6 +5,7 @@
 import time
 
 from zinniadyke import directory
+from zinniadyke.gateway import _host_figures
 from zinniadyke.gateway import _kv_memory
 from zinniadyke.gateway import _report_delay
 from zinniadyke.gateway import _slowness
@@ -44,10 +45,6 @@
         Requests of all entries that run or wait there, as last reported.
     in_flight_at_report
         ``in_flight`` when the last report arrived.
-    reported_waiting
-        Requests of all entries that wait there, as last reported.
-    sent_since_report
-        Requests that this entry has sent since the last report.
     agent_reported_at
         Monotonic time of the last report of the target's agent; None before
         the first.
@@ -83,13 +80,8 @@
     switches_at
         Monotonic time at which the target will switch its weights, which
         interrupts its running requests; infinite if none is planned.
-    slowness
-        How much longer than usual work takes on the target's host; None if
-        the target has not reported it.
-    kv_memory
-        Free KV cache; None if the target has not reported it.
-    reports_host
-        Whether the target has reported its slowness or its KV cache.
+    host
+        Slowness and free KV cache; None if the target has reported neither.
     """
 
     def __init__(self, *, target: directory.Target) -> None:
@@ -97,8 +89,6 @@
         self.target = target
         self.in_flight = 0
         self.reported_requests = 0
-        self.reported_waiting = 0
-        self.sent_since_report = 0
         self.in_flight_at_report = 0
         self.reported_at = float("-inf")
         self.agent_reported_at: float | None = None
@@ -119,16 +109,13 @@
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
         self.unlisted_at = float("-inf")
-        self.slowness: _slowness.Slowness | None = None
-        self.kv_memory: _kv_memory.KvMemory | None = None
-        self.reports_host = False
-        self.absurd_figure_logged = False
+        self.host: _host_figures.HostFigures | None = None
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
         self.reported_requests = running + waiting
-        self.reported_waiting = waiting
-        self.sent_since_report = 0
+        if self.host is not None:
+            self.host.record_load(waiting)
         self.in_flight_at_report = self.in_flight
         self.reported_at = time.monotonic()
         self.slot_share = _draw_slot_share(
@@ -193,13 +180,13 @@
         factor
             1.0 is usual. Absurd figures are logged once and ignored.
         """
+        figures = self._host_figures()
         if not _slowness.is_plausible(factor):
             self._log_absurd_figure("slowness", factor)
-        elif self.slowness is None:
-            self.slowness = _slowness.Slowness(factor)
-            self.reports_host = True
+        elif figures.slowness is None:
+            figures.slowness = _slowness.Slowness(factor)
         else:
-            self.slowness.record(factor)
+            figures.slowness.record(factor)
 
     def record_memory(self, kv_used: int, kv_total: int, layers: int) -> None:
         """Record the used KV cache and its capacity, in tokens x layers.
@@ -213,29 +200,40 @@
         """
         if not kv_total:
             return
+        figures = self._host_figures()
         if not 0 <= kv_used <= kv_total:
             self._log_absurd_figure("kv_used", kv_used)
             return
-        if self.kv_memory is None:
-            self.kv_memory = _kv_memory.KvMemory()
-            self.reports_host = True
-        self.kv_memory.record_report((kv_total - kv_used) / max(layers, 1))
+        if figures.kv_memory is None:
+            figures.kv_memory = _kv_memory.KvMemory()
+        figures.kv_memory.record_report((kv_total - kv_used) / max(layers, 1))
 
     def record_sent(self, kv_tokens: int) -> None:
         """Record a sent request and the tokens that it may hold."""
-        self.sent_since_report += 1
-        if self.kv_memory is not None:
-            self.kv_memory.record_sent(kv_tokens)
+        if self.host is not None:
+            self.host.record_sent(kv_tokens)
 
     @property
     def kv_free_tokens(self) -> float | None:
         """Tokens that fit into the free KV cache; None if unknown."""
-        return None if self.kv_memory is None else self.kv_memory.free_tokens
+        if self.host is None or self.host.kv_memory is None:
+            return None
+        return self.host.kv_memory.free_tokens(time.monotonic())
+
+    @property
+    def slowness(self) -> _slowness.Slowness | None:
+        """How much longer work takes on the host; None if not reported."""
+        return None if self.host is None else self.host.slowness
+
+    def _host_figures(self) -> _host_figures.HostFigures:
+        if self.host is None:
+            self.host = _host_figures.HostFigures()
+        return self.host
 
     def _log_absurd_figure(self, name: str, value: float) -> None:
-        if self.absurd_figure_logged:
+        if self.host.absurd_figure_logged:
             return
-        self.absurd_figure_logged = True
+        self.host.absurd_figure_logged = True
         LOG.warning(
             "absurd figure ignored",
             extra={
