--- a/zinniadyke/bench/_placement_fleet.py
+++ b/zinniadyke/bench/_placement_fleet.py
@@ -4,6 +4,7 @@
 on virtual time; connections, agents and callers are simulated.
 """
 
+from collections.abc import Callable
 import random
 import time
 
@@ -11,6 +12,7 @@
 import msgspec
 
 from zinniadyke.bench import _placement_workload
+from zinniadyke.bench import _shared_host
 from zinniadyke.bench import _simulated_engine
 from zinniadyke import directory
 from zinniadyke.gateway import admission
@@ -78,6 +80,10 @@
         Whether agents report the demand of all entries.
     shares_by_demand
         Whether entries share free slots by it; otherwise equally.
+    kinds
+        Kinds of requests, for the capacity; empty for the usual ones.
+    mean_speed
+        Mean speed of the hosts, relative to usual.
     """
 
     entry_count: int = ENTRY_COUNT
@@ -87,18 +93,31 @@
     same_route: bool = True
     reports_demand: bool = False
     shares_by_demand: bool = False
+    kinds: tuple[_placement_workload.RequestKind, ...] = ()
+    mean_speed: float = 1.0
 
 
 class Fleet:
-    """Engines, and entries that learn their load from reports."""
+    """Engines, and entries that learn their load from reports.
+
+    Parameters
+    ----------
+    make_host
+        Returns the host of an engine; None for one of constant speed.
+    """
 
     def __init__(
-        self, *, rng: random.Random, shape: FleetShape | None = None
+        self,
+        *,
+        rng: random.Random,
+        shape: FleetShape | None = None,
+        make_host: Callable[[], _shared_host.SharedHost | None] = lambda: None,
     ) -> None:
         """Start all engines and entries."""
         self.rng = rng
         self.shape = shape or FleetShape()
         self.profile = self.shape.profile
+        self.make_host = make_host
         self.engines: dict[ids.TargetId, _simulated_engine.SimulatedEngine]
         self.engines = {}
         self.registered_targets: dict[ids.TargetId, directory.Target] = {}
@@ -170,11 +189,16 @@
     def capacity_per_s(self) -> float:
         """Requests per second that all engines together can complete."""
         profile = self.profile
-        step_s = profile.step_s + profile.step_per_request_s * profile.slots
+        step_s = profile.step_s + profile.slots * (
+            profile.step_per_request_s
+            + profile.step_per_context_token_s * profile.mean_prompt_tokens
+        )
         request_time_s = _placement_workload.mean_engine_time_s(
-            step_s / profile.slots, profile.prefill_tokens_per_s
+            step_s / profile.slots,
+            profile.prefill_tokens_per_s,
+            self.shape.kinds,
         )
-        return len(self.engines) / request_time_s
+        return self.shape.mean_speed * len(self.engines) / request_time_s
 
     @property
     def free_slot_share(self) -> float:
@@ -190,7 +214,9 @@
         number = len(self.registered_targets)
         name = ids.TargetId(f"t{number}")
         self.engines[name] = _simulated_engine.SimulatedEngine(
-            profile=self.profile, prefill_chunk_tokens=PREFILL_CHUNK_TOKENS
+            profile=self.profile,
+            prefill_chunk_tokens=PREFILL_CHUNK_TOKENS,
+            host=self.make_host(),
         )
         self.registered_targets[name] = directory.Target(
             id=name,
@@ -230,6 +256,8 @@
                 state.entries = self.shape.entry_count
                 if self.shape.reports_demand:
                     self._record_demand(entry, state)
+                if engine.host is not None:
+                    state.record_slowness(engine.host.pace())
                 state.record_load(len(engine.running), len(engine.waiting))
                 entry.admit_waiting()
             eventlet.sleep(REPORT_INTERVAL_S)
@@ -262,6 +290,12 @@
             objective_at=now - waited_s + simulated_request.kind.objective_s,
             waited_s=waited_s,
             model=MODEL,
+            work=admission.RequestWork(
+                engine=self.profile,
+                prompt_tokens=simulated_request.prompt_tokens,
+                answer_tokens=simulated_request.kind.answer_tokens,
+                max_answer_tokens=simulated_request.kind.answer_tokens,
+            ),
             last_event_id="",
             tried=[],
         )
--- a/zinniadyke/gateway/_call.py
+++ b/zinniadyke/gateway/_call.py
@@ -7,6 +7,7 @@
 
 from zinniadyke import directory
 from zinniadyke.gateway import _request
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _scope
 from zinniadyke.gateway import _urgency
 from zinniadyke import ids
@@ -44,6 +45,8 @@
         Configuration that set the allowed regions; None if unknown.
     content
         Digest of method, host, path, workspace and body.
+    work
+        Tokens of the request and the arithmetic of the engines.
     tried
         Targets that were attempted, in order.
     last_event_id
@@ -60,6 +63,9 @@
     load_at_send, load_age_s
         Known requests at the target when the first attempt started, and the
         age of the target's load report.
+    predicted_s
+        Time to the first event that was predicted then; None for a target
+        that does not report its slowness.
     longest_gap_s
         Longest time between two parts of the response.
     """
@@ -81,6 +87,7 @@
     configuration: directory.ServingConfiguration | None = None
     prompt_parts: frozenset[ids.PromptPart] = frozenset()
     content: ids.RequestContent = ids.RequestContent("")
+    work: _request_work.RequestWork = _request_work.UNKNOWN_WORK
     last_event_id: str
     tried: list[ids.TargetId] = []
     sent_at: float | None = None
@@ -93,6 +100,7 @@
     reserved_slots: int = 0
     load_at_send: int = 0
     load_age_s: float = 0.0
+    predicted_s: float | None = None
 
     @property
     def suspects(self) -> frozenset[ids.Suspect]:
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -10,6 +10,8 @@
 import random
 import time
 
+from zinniadyke.gateway import _predicted_time
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _target_state
 
 # Penalties as a number of requests in flight. Traffic between regions is
@@ -25,9 +27,18 @@
 # Penalty, in requests, of each second that reports wait in a target's link;
 # requests and events wait there as long.
 LINK_DELAY_LOAD_PER_S = 10.0
+# Penalty, in requests, of a target whose memory a request may exceed, above
+# all others: it gets the request only if no other may.
+NO_MEMORY_LOAD = 1e6
+# Predicted time to the first event that counts as much as one request. Of
+# 0.01, 0.02 and 0.05 s it had the most answers in time.
+PREDICTED_S_PER_REQUEST = 0.02
 # Shorter delays are usual.
 MIN_LINK_DELAY_S = 0.1
 
+# Maps a target, its load and the slowness of its host to a penalty.
+SlownessLoad = Callable[[_target_state.TargetState, int, float], float]
+
 
 def choose_target(
     candidates: Iterable[_target_state.TargetState],
@@ -35,6 +46,7 @@
     has_free_slot: Callable[[_target_state.TargetState], bool],
     *,
     mean_response_s: float,
+    work: _request_work.RequestWork = _request_work.UNKNOWN_WORK,
 ) -> _target_state.TargetState | None:
     """Return the target with the lowest cost, or None if all are full.
 
@@ -48,17 +60,26 @@
     mean_response_s
         Mean time of a complete response, in seconds. A target that
         switches weights sooner is likely to interrupt the response.
+    work
+        Tokens of the request and the arithmetic of the engines.
     """
     now = time.monotonic()
     best, best_cost = None, float("inf")
+    host_load = None
     for state in candidates:
         if not has_free_slot(state):
             continue
-        cost = state.load + zone_penalty(state.target.zone)
-        cost += INTERRUPTED_STREAM_LOAD * _interruption_probability(
-            state.switches_at - now, mean_response_s
-        )
+        load = state.load
+        cost = load + zone_penalty(state.target.zone)
+        remaining_s = state.switches_at - now
+        if remaining_s < mean_response_s:
+            cost += INTERRUPTED_STREAM_LOAD * _interruption_probability(
+                remaining_s, mean_response_s
+            )
         cost += _link_load(state)
+        if state.host is not None:
+            host_load = host_load or _host_load(work, now)
+            cost += host_load(state, load)
         cost += random.random() * 0.5
         if cost < best_cost:
             best, best_cost = state, cost
@@ -79,6 +100,78 @@
     return LINK_DELAY_LOAD_PER_S * delay_s
 
 
+def _host_load(
+    work: _request_work.RequestWork, now: float
+) -> Callable[[_target_state.TargetState, int], float]:
+    """Return what maps a target and its load to a penalty.
+
+    The penalty is for a slow host and for too little memory.
+    """
+    penalty = slowness_load(work)
+
+    def host_load(state: _target_state.TargetState, load: int) -> float:
+        figures = state.host
+        total = 0.0
+        if figures.slowness is not None:
+            total = penalty(state, load, figures.slowness.factor(now))
+        if figures.kv_memory is not None:
+            free_tokens = figures.kv_memory.free_tokens(now)
+            if free_tokens is not None and work.kv_tokens > free_tokens:
+                total += NO_MEMORY_LOAD
+        return total
+
+    return host_load
+
+
+def slowness_load(work: _request_work.RequestWork) -> SlownessLoad:
+    """Return what replaces the count of requests at targets, less the count.
+
+    For plain services, it is the count with this request times the slowness.
+    For engines, it is the predicted time to the first event. There, a usual
+    target that is half full costs as much as by its count, so that costs
+    remain comparable with those of targets that do not report their slowness.
+
+    Load: hosts that are slow for some hundred milliseconds at a time, and
+    entries that all see the same idle target in reports, whose prompts would
+    then delay one another.
+    """
+    if work.engine is None:
+        return lambda state, load, slowness: (load + 1) * (slowness - 1.0)
+    predict = _predicted_time.predict_first_event(work)
+    usual_s: dict[int, float] = {}
+
+    def engine_load(
+        state: _target_state.TargetState, load: int, slowness: float
+    ) -> float:
+        slots = state.target.slots
+        if slots not in usual_s:
+            usual_s[slots] = predict(slots / 2, 0, 1.0)
+        pending = state.host.pending
+        later_s = (
+            predict(max(load - pending, 0), pending, slowness) - usual_s[slots]
+        )
+        return slots / 2 + later_s / PREDICTED_S_PER_REQUEST - load
+
+    return engine_load
+
+
+def predict_first_event_s(
+    state: _target_state.TargetState, work: _request_work.RequestWork
+) -> float | None:
+    """Return the predicted time to an engine's first event, in seconds.
+
+    None if the target does not report its slowness or runs no model.
+    """
+    if state.slowness is None or work.engine is None:
+        return None
+    pending = state.host.pending
+    return _predicted_time.predict_first_event(work)(
+        max(state.load - pending, 0),
+        pending,
+        state.slowness.factor(time.monotonic()),
+    )
+
+
 def _interruption_probability(
     remaining_s: float, mean_response_s: float
 ) -> float:
--- a/zinniadyke/gateway/_slots.py
+++ b/zinniadyke/gateway/_slots.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from zinniadyke.gateway import _call
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_state
@@ -87,6 +88,7 @@
 
     def choose(
         self,
+        call: _call.Call,
         candidates: list[_target_state.TargetState],
         has_free_slot: HasFreeSlot,
         mean_response_s: float,
@@ -98,10 +100,13 @@
         target that this request would have gone to, or else at the one that
         has one first.
         """
-        preferred = self._choose(candidates, has_free_slot, mean_response_s)
+        preferred = self._choose(
+            call, candidates, has_free_slot, mean_response_s
+        )
         if preferred is None or preferred.within_limit:
             return preferred
         usable = self._choose(
+            call,
             candidates,
             lambda s: s.within_limit and has_free_slot(s),
             mean_response_s,
@@ -123,6 +128,7 @@
 
     def _choose(
         self,
+        call: _call.Call,
         candidates: list[_target_state.TargetState],
         has_free_slot: HasFreeSlot,
         mean_response_s: float,
@@ -132,4 +138,5 @@
             self.zone_penalty,
             has_free_slot,
             mean_response_s=mean_response_s,
+            work=call.work,
         )
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -6,7 +6,10 @@
 
 from zinniadyke import directory
 from zinniadyke.gateway import _cold_source
+from zinniadyke.gateway import _host_figures
+from zinniadyke.gateway import _kv_memory
 from zinniadyke.gateway import _report_delay
+from zinniadyke.gateway import _slowness
 from zinniadyke.gateway import _token_holder
 from zinniadyke import requests
 from zinniadyke import telemetry
@@ -96,14 +99,13 @@
     closed_until
         Monotonic time until which the target wants no request from this
         host.
-    slowness
-        Factor by which work takes longer than usual on the target's host, as
-        last stated; None if it never was.
     load_header_logged
         Whether an unusable figure of the target's load has been logged.
     switches_at
         Monotonic time at which the target will switch its weights, which
         interrupts its running requests; infinite if none is planned.
+    host
+        Slowness and free KV cache; None if no slowness was reported.
     """
 
     def __init__(self, *, target: directory.Target) -> None:
@@ -138,12 +140,14 @@
         self.limit_named_at = float("-inf")
         self.agent_names_limit = False
         self.unlisted_at = float("-inf")
-        self.slowness: float | None = None
         self.load_header_logged = False
+        self.host: _host_figures.HostFigures | None = None
 
     def record_load(self, running: int, waiting: int) -> None:
         """Record a load report and draw this entry's share of free slots."""
         self.reported_requests = running + waiting
+        if self.host is not None:
+            self.host.record_load(waiting)
         self.in_flight_at_report = self.in_flight
         self.reported_at = time.monotonic()
         self.slot_share = _draw_slot_share(
@@ -152,10 +156,6 @@
             self.slot_part,
         )
 
-    def record_slowness(self, factor: float) -> None:
-        """Record how long work takes on the target's host; 1 is usual."""
-        self.slowness = factor
-
     def record_demand(
         self, demand: dict[int, float], slot_part: float | None
     ) -> None:
@@ -278,6 +278,80 @@
             telemetry.Metric.TARGETS_COLD, label=self.target.service
         )
 
+    def record_slowness(self, factor: float) -> None:
+        """Record by which factor work takes longer on the target's host.
+
+        Parameters
+        ----------
+        factor
+            1.0 is usual. Absurd figures are logged once and ignored.
+        """
+        figures = self._host_figures()
+        if not _slowness.is_plausible(factor):
+            self._log_absurd_figure("slowness", factor)
+        elif figures.slowness is None:
+            figures.slowness = _slowness.Slowness(factor)
+        else:
+            figures.slowness.record(factor)
+
+    def record_memory(self, kv_used: int, kv_total: int, layers: int) -> None:
+        """Record the used KV cache and its capacity, in tokens x layers.
+
+        They have no effect before the target has stated its slowness.
+
+        Parameters
+        ----------
+        kv_total
+            0 if unknown, which has no effect.
+        layers
+            Layers of the model.
+        """
+        if not kv_total or self.slowness is None:
+            return
+        figures = self.host
+        if not 0 <= kv_used <= kv_total:
+            self._log_absurd_figure("kv_used", kv_used)
+            return
+        if figures.kv_memory is None:
+            figures.kv_memory = _kv_memory.KvMemory()
+        figures.kv_memory.record_report((kv_total - kv_used) / max(layers, 1))
+
+    def record_sent(self, kv_tokens: int) -> None:
+        """Record a sent request and the tokens that it may hold."""
+        if self.host is not None:
+            self.host.record_sent(kv_tokens)
+
+    @property
+    def kv_free_tokens(self) -> float | None:
+        """Tokens that fit into the free KV cache; None if unknown."""
+        if self.host is None or self.host.kv_memory is None:
+            return None
+        return self.host.kv_memory.free_tokens(time.monotonic())
+
+    @property
+    def slowness(self) -> _slowness.Slowness | None:
+        """How much longer work takes on the host; None if not reported."""
+        return None if self.host is None else self.host.slowness
+
+    def _host_figures(self) -> _host_figures.HostFigures:
+        if self.host is None:
+            self.host = _host_figures.HostFigures()
+        return self.host
+
+    def _log_absurd_figure(self, name: str, value: float) -> None:
+        if self.host.absurd_figure_logged:
+            return
+        self.host.absurd_figure_logged = True
+        LOG.warning(
+            "absurd figure ignored",
+            extra={
+                "target": self.target.id,
+                "service": self.target.service,
+                "figure": name,
+                "value": value,
+            },
+        )
+
     def record_success(self) -> None:
         """Reset the failure count and end an ejection."""
         self.consecutive_failures = 0
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -15,6 +15,7 @@
 from zinniadyke import ids
 from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _host_figures
 from zinniadyke.platform import _retry_after
 from zinniadyke.platform import _target_limit
 from zinniadyke.platform import headers as header_names
@@ -56,6 +57,12 @@
         it names no limit.
     cold_s
         Time in seconds for which it is still cold, as its answers said.
+    pace
+        Factor by which work takes longer than usual on its host, as stated;
+        None if it states none.
+    kv_used, kv_total
+        KV cache that cannot be freed, and its capacity, in tokens x layers;
+        0 if unknown.
     """
 
     running: int
@@ -67,6 +74,9 @@
     leaving: bool = False
     limit_per_s: float | None = None
     cold_s: float = 0.0
+    pace: float | None = None
+    kv_used: int = 0
+    kv_total: int = 0
 
 
 class _Report(msgspec.Struct):
@@ -78,6 +88,10 @@
     waiting: int = 0
     running: int = 0
     born: int = 0
+    # Any type, so that an unreadable figure does not cost the others.
+    pace: object = None
+    kv_used: object = 0
+    kv_total: object = 0
 
 
 class _Held(msgspec.Struct):
@@ -163,6 +177,11 @@
                 self.address,
             ),
             cold_s=max(self.cold_until - time.monotonic(), 0.0),
+            pace=_host_figures.choose_pace(
+                answer.headers.get(header_names.TARGET_LOAD, ""), decoded.pace
+            ),
+            kv_used=_host_figures.read_tokens(decoded.kv_used),
+            kv_total=_host_figures.read_tokens(decoded.kv_total),
         )
 
     def staged_pieces(self, model: str) -> set[int]:
--- a/zinniadyke/platform/headers.py
+++ b/zinniadyke/platform/headers.py
@@ -17,6 +17,8 @@
 MODEL = "x-zinniadyke-model"
 # Number of prompt tokens and largest number of output tokens.
 TOKEN_COUNTS = "x-zinniadyke-token-counts"
+# Estimated number of output tokens.
+LENGTH_HINT = "x-zinniadyke-length-hint"
 PREFIX_HASH = "x-zinniadyke-prefix-hash"
 # The target's signature on its answer.
 SIGNATURE = "x-zinniadyke-server-stamp"
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -37,6 +37,9 @@
 MS_PER_S = 1000.0
 # A higher demand for one target is an error of its sender.
 MAX_DEMAND_PER_S = 1e6
+# Figures are rounded, so that small changes cause no additional datagrams.
+PACE_DECIMALS = 1
+KV_STEPS = 64
 
 
 class LoadReporter:
@@ -189,6 +192,9 @@
                 evacuations=self.evacuations,
                 cold_ms=math.ceil(report.cold_s * MS_PER_S),
                 demand=self._sum_demand(),
+                pace=_round_pace(report.pace),
+                kv_used=_round_kv(report.kv_used, report.kv_total),
+                kv_total=report.kv_total,
             )
         )
 
@@ -298,6 +304,17 @@
         )
 
 
+def _round_pace(pace: float | None) -> float | None:
+    # A figure below a step stays as stated: 0 is absurd.
+    return pace and (round(pace, PACE_DECIMALS) or pace)
+
+
+def _round_kv(used: int, total: int) -> int:
+    """Round up to a step, but to no more than the capacity."""
+    step = max(total // KV_STEPS, 1)
+    return max(min(-(-used // step) * step, total), used)
+
+
 def report_interval_s(report: platform.EngineReport | None) -> float:
     """Return the time until the next reading of the load, in seconds.
 
