--- a/tests/gateway/test_slow_hosts.py
+++ b/tests/gateway/test_slow_hosts.py
@@ -4,6 +4,7 @@
 import logging
 import math
 import random
+import types
 
 import msgspec
 import pytest
@@ -262,6 +263,49 @@
         assert state.host.pending == 2
 
 
+def test_report_with_pace_alone_leaves_the_choices_as_they_are(monkeypatch):
+    """Engines without the fourth figure also report pace and memory."""
+    client = platform.ModelServerClient(address="127.0.0.1:1")
+    body = b'{"pace": 9.0, "kv_used": 90, "kv_total": 100}'
+    headers = {"x-zinniadyke-server-load": "0,0,16"}
+    answer = types.SimpleNamespace(data=body, headers=headers)
+    monkeypatch.setattr(client, "_call", lambda *args, **kwargs: answer)
+    with deploy.deployment(lambda exchange: None) as system:
+        listener = system.gateway.load_listener
+        address = system.targets[0].address
+        (state,) = listener.target_table.by_address[address]
+        reporter = _load_reporter.LoadReporter(
+            ip="127.0.0.1",
+            port=deploy.free_port(),
+            region="r",
+            address=address,
+            target=client,
+            view=directory.View(),
+        )
+        sent = []
+        reporter.broadcast = sent.append
+        try:
+            reporter.publish_report(client.report(1))
+            answer.data = body.replace(b"90", b"10")
+            reporter.publish_report(client.report(1))
+            assert len(sent) == 1
+            listener._apply_report(sent[-1])
+            assert state.host is None
+            other = make_state("other", 1)
+            assert count_choices([state, other]) == {state.target.id: 200}
+            # Once the figure was seen, pace counts where it is missing.
+            headers["x-zinniadyke-server-load"] = "0,0,16,100"
+            client.report(1)
+            headers["x-zinniadyke-server-load"] = "0,0,16"
+            reporter.publish_report(client.report(1))
+            listener._apply_report(sent[-1])
+            assert state.slowness.smoothed == 9.0
+            assert state.kv_free_tokens is not None
+            assert count_choices([state, other]) == {"other": 200}
+        finally:
+            reporter.sock.close()
+
+
 def test_means_replace_token_counts_that_a_request_does_not_state():
     """Requests without headers would count as free of work and memory."""
     work = _request_work.estimate_work(platform.TokenCounts(), ENGINE)
--- a/tests/platform/test_token_counts.py
+++ b/tests/platform/test_token_counts.py
@@ -22,21 +22,29 @@
 
 
 @pytest.mark.parametrize(
-    ("header", "pace", "expected"),
+    ("header", "pace", "expected", "expected_first"),
     [
-        ("1,2,3,250", 1.0, 2.5),
-        ("1,2,3", 1.5, 1.5),
-        ("1,2,3,x", 2, 2.0),
-        ("1,2,3,0", None, None),
-        ("", "fast", None),
-        ("", True, None),
+        ("1,2,3,250", 1.0, 2.5, 2.5),
+        ("1,2,3", 1.5, 1.5, None),
+        ("1,2,3,x", 2, 2.0, None),
+        ("1,2,3,0", None, None, None),
+        ("", "fast", None, None),
+        ("", True, None, None),
     ],
 )
 def test_slowness_is_that_of_the_header_or_else_of_the_report(
-    header, pace, expected
+    header, pace, expected, expected_first
 ):
     """The report's figure is older; unreadable ones must not raise."""
-    assert _host_figures.choose_pace(header, pace) == expected
+    load = platform.parse_load(header)
+    for stated_before, pace_used in (
+        (True, expected),
+        (False, expected_first),
+    ):
+        assert (
+            _host_figures.choose_pace(load, pace, stated_before=stated_before)
+            == pace_used
+        )
 
 
 @pytest.mark.parametrize("value", [None, "9", -1, True, float("nan"), 1e300])
--- a/zinniadyke/platform/_host_figures.py
+++ b/zinniadyke/platform/_host_figures.py
@@ -1,29 +1,29 @@
 """Reads an engine's figures of its host's speed and of its memory."""
 
-from zinniadyke import decimal_text
+from zinniadyke.platform import _target_load
 
-# Position of the slowness in the load header, and its usual value.
-SLOWNESS_POSITION = 3
-USUAL_SLOWNESS = 100.0
 
-
-def choose_pace(load_header: str, pace: object) -> float | None:
+def choose_pace(
+    load: _target_load.Load | None, pace: object, *, stated_before: bool
+) -> float | None:
     """Return the factor by which work takes longer; None if none is stated.
 
-    The header states the factor of this moment, the report an older one.
+    The header states the factor of this moment, the report an older one,
+    which counts only for engines that have stated one in the header.
 
     Parameters
     ----------
-    load_header
-        Load header of the answer; empty if it has none.
+    load
+        Load in the header of the answer; None if it has none.
     pace
         Factor in the report, of any type.
+    stated_before
+        Whether an earlier header stated a factor.
     """
-    parts = load_header.split(",")
-    if len(parts) > SLOWNESS_POSITION:
-        stated = decimal_text.parse_decimal(parts[SLOWNESS_POSITION])
-        if stated:
-            return stated / USUAL_SLOWNESS
+    if load is not None and load.slowness is not None:
+        return load.slowness
+    if not stated_before:
+        return None
     if isinstance(pace, (int, float)) and not isinstance(pace, bool):
         return float(pace)
     return None
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -4,6 +4,7 @@
 """
 
 import http
+import logging
 import re
 import time
 
@@ -18,8 +19,12 @@
 from zinniadyke.platform import _host_figures
 from zinniadyke.platform import _retry_after
 from zinniadyke.platform import _target_limit
+from zinniadyke.platform import _target_load
 from zinniadyke.platform import headers as header_names
 
+LOG = logging.getLogger(__name__)
+
+MAX_LOGGED_CHARS = 40
 # The model server on the same host answers at once.
 LOCAL_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 2.0
@@ -58,8 +63,8 @@
     cold_s
         Time in seconds for which it is still cold, as its answers said.
     pace
-        Factor by which work takes longer than usual on its host, as stated;
-        None if it states none.
+        Factor by which work takes longer than usual on its host; None if no
+        load header has stated one.
     kv_used, kv_total
         KV cache that cannot be freed, and its capacity, in tokens x layers;
         0 if unknown.
@@ -144,6 +149,9 @@
         self.closed_until = float("-inf")
         # Monotonic time until which the server said that it is cold.
         self.cold_until = float("-inf")
+        # Whether the server has stated its host's slowness in a header.
+        self.slowness_stated = False
+        self.load_header_logged = False
         # Start of the server that said that it is leaving.
         self.leaving_born_ms: int | None = None
 
@@ -177,13 +185,31 @@
                 self.address,
             ),
             cold_s=max(self.cold_until - time.monotonic(), 0.0),
-            pace=_host_figures.choose_pace(
+            pace=self._choose_pace(
                 answer.headers.get(header_names.TARGET_LOAD, ""), decoded.pace
             ),
             kv_used=_host_figures.read_tokens(decoded.kv_used),
             kv_total=_host_figures.read_tokens(decoded.kv_total),
         )
 
+    def _choose_pace(self, load_header: str, pace: object) -> float | None:
+        load = _target_load.parse_load(load_header)
+        if load is not None and load.slowness is not None:
+            self.slowness_stated = True
+        if load is not None and load.unusable and not self.load_header_logged:
+            # The server may state it in each answer.
+            self.load_header_logged = True
+            LOG.warning(
+                "figures of the model server's load unusable, ignored",
+                extra={
+                    "address": self.address,
+                    "value": load_header[:MAX_LOGGED_CHARS],
+                },
+            )
+        return _host_figures.choose_pace(
+            load, pace, stated_before=self.slowness_stated
+        )
+
     def staged_pieces(self, model: str) -> set[int]:
         """Return the indexes of the staged pieces, of any version."""
         try:
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -92,7 +92,7 @@
         Time for which the target is still cold; 0 if it is not.
     pace
         Factor by which work takes longer than usual on the target's host;
-        None if unknown.
+        None if the agent has seen no load header that states one.
     kv_used, kv_total
         KV cache that cannot be freed, and its capacity, in tokens x layers;
         0 if unknown.
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -264,7 +264,7 @@
             LOG.debug("cannot send datagram", extra={"reason": str(error)})
 
     def _is_unchanged(self, report: reports.LoadReport) -> bool:
-        """Whether only times and demand differ from the last report sent."""
+        """Whether nothing of importance differs from the last report sent."""
         last = self.last_sent
         if last is None or (
             (last.switch_in_ms is None) != (report.switch_in_ms is None)
@@ -273,6 +273,11 @@
             or last.cold_ms < report.cold_ms
         ):
             return False
+        if report.pace is None:
+            # The figures have an effect only if the target states a slowness.
+            last = msgspec.structs.replace(
+                last, kv_used=report.kv_used, kv_total=report.kv_total
+            )
         return report == msgspec.structs.replace(
             last,
             named=report.named,
