--- a/zinniadyke/bench/_placement.py
+++ b/zinniadyke/bench/_placement.py
@@ -1,5 +1,6 @@
 """Admission and placement benchmark: which requests are served."""
 
+from collections.abc import Callable
 import random
 import time
 
@@ -53,14 +54,22 @@
 
 
 class ScenarioRun:
-    """Simulation of one load scenario on one fleet."""
+    """Simulation of one load scenario on one fleet.
+
+    Parameters
+    ----------
+    make_fleet
+        Returns the fleet; called with the generator of the scenario.
+    """
 
     def __init__(
         self,
         *,
         scenario: _placement_workload.LoadScenario,
         options: PlacementOptions,
-        shape: _placement_fleet.FleetShape | None = None,
+        make_fleet: Callable[
+            [random.Random], _placement_fleet.Fleet
+        ] = lambda rng: _placement_fleet.Fleet(rng=rng),
     ) -> None:
         """Start the fleet."""
         self.scenario = scenario
@@ -68,7 +77,7 @@
         self.rng = random.Random(f"{options.seed} {scenario.name}")
         # Placement uses the global generator of the random module.
         random.seed(options.seed)
-        self.fleet = _placement_fleet.Fleet(rng=self.rng, shape=shape)
+        self.fleet = make_fleet(self.rng)
         self.capacities_per_s: list[float] = []
         self.outcomes: list[_placement_row.RequestOutcome] = []
 
@@ -178,6 +187,7 @@
                     raise
                 return
             call.tried.append(state.target.id)
+            state.record_sent(call.work.kv_tokens)
             sent_at = time.monotonic()
             engine = self.fleet.engines.get(state.target.id)
             try:
@@ -186,6 +196,7 @@
                 else:
                     self._read_stream(
                         engine,
+                        state,
                         simulated_request,
                         outcome,
                         received_tokens,
@@ -209,6 +220,7 @@
     def _read_stream(
         self,
         engine,
+        state,
         simulated_request,
         outcome,
         received_tokens: int,
@@ -234,6 +246,9 @@
                     tokens_out = job.events.get()
                     if tokens_out is None:
                         raise _simulated_engine.EngineCrashedError
+                    if engine.host is not None and job.tokens_out == 1:
+                        # The head of the answer states the slowness.
+                        state.record_slowness(engine.host.slowness())
                     outcome.record_event(
                         time.monotonic() - first_try_at,
                         received_tokens + tokens_out,
--- a/zinniadyke/bench/_placement_classes.py
+++ b/zinniadyke/bench/_placement_classes.py
@@ -98,7 +98,13 @@
         uneven: bool,
         shape: _placement_fleet.FleetShape,
     ) -> None:
-        super().__init__(scenario=SCENARIO, options=options, shape=shape)
+        super().__init__(
+            scenario=SCENARIO,
+            options=options,
+            make_fleet=lambda rng: _placement_fleet.Fleet(
+                rng=rng, shape=shape
+            ),
+        )
         self.uneven = uneven
 
     def choose_entry(
--- a/zinniadyke/bench/_simulated_engine.py
+++ b/zinniadyke/bench/_simulated_engine.py
@@ -4,6 +4,7 @@
 from eventlet import queue
 import msgspec
 
+from zinniadyke.bench import _shared_host
 from zinniadyke import directory
 
 
@@ -35,10 +36,16 @@
     ----------
     prefill_chunk_tokens
         Maximum number of prompt tokens per step.
+    host
+        Host that it runs on; None for one of constant speed.
     """
 
     def __init__(
-        self, *, profile: directory.EngineProfile, prefill_chunk_tokens: int
+        self,
+        *,
+        profile: directory.EngineProfile,
+        prefill_chunk_tokens: int,
+        host: _shared_host.SharedHost | None = None,
     ) -> None:
         """Start an idle engine."""
         self.profile = profile
@@ -47,6 +54,8 @@
         self.running: list[Job] = []
         self.work_available = directory.Signal()
         self.is_crashed = False
+        self.host = host
+        self.work = eventlet.sleep if host is None else host.run
         self.task = eventlet.spawn(self._run)
 
     def submit(self, prompt_tokens: int, answer_tokens: int) -> Job:
@@ -112,7 +121,7 @@
             + profile.step_per_request_s * len(decoding)
             + profile.step_per_context_token_s * context_tokens
         )
-        eventlet.sleep(
+        self.work(
             steps * step_s + prefilled_tokens / profile.prefill_tokens_per_s
         )
         for job in list(self.running):
--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -105,7 +105,7 @@
             self._rescope(call)
             candidates = self.target_table.candidates(call.scope, call.tried)
             state = self.slots.choose(
-                candidates, lambda _: True, self.waits.mean_response_s
+                call, candidates, lambda _: True, self.waits.mean_response_s
             )
             if state is not None:
                 return self.slots.reserve(state)
@@ -391,6 +391,7 @@
             ):
                 return None
         return self.slots.choose(
+            call,
             candidates,
             lambda s: self.slots.free_slots(s) > 0,
             self.waits.mean_response_s,
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -281,6 +281,10 @@
             call.sent_at = time.monotonic()
             call.load_at_send = state.load
             call.load_age_s = call.sent_at - state.reported_at
+            call.predicted_s = _placement.predict_first_event_s(
+                state, call.work
+            )
+        state.record_sent(call.work.kv_tokens)
         return _attempt.Attempt(
             call=call,
             state=state,
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -14,6 +14,7 @@
 from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_table
 from zinniadyke import reports
+from zinniadyke import telemetry
 from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
@@ -106,8 +107,25 @@
                     )
                 else:
                     self._send(data, host_ip)
+            self._gauge_slowness()
             self.named.wait(SUBSCRIBE_PERIOD_S)
 
+    def _gauge_slowness(self) -> None:
+        """Publish the mean slowness of each service's used targets."""
+        now = time.monotonic()
+        for service, states in self.target_table.used.items():
+            factors = [
+                s.slowness.factor(now)
+                for s in states
+                if s.slowness is not None
+            ]
+            if factors:
+                telemetry.gauge(
+                    telemetry.Metric.HOST_SLOWNESS,
+                    sum(factors) / len(factors),
+                    label=service,
+                )
+
     def send(self, message: reports.Message, host_ip: str) -> None:
         """Send a message to the agent on a host."""
         self._send(reports.encode(message), host_ip)
@@ -190,6 +208,13 @@
             state.record_cold(
                 report.cold_ms / MS_PER_S, _cold_source.ColdSource.AGENT
             )
+            if report.pace is not None:
+                state.record_slowness(report.pace)
+            state.record_memory(
+                report.kv_used,
+                report.kv_total,
+                self.target_table.layers(target.service),
+            )
             if report.leaving:
                 leaving.append(target)
             self.on_report()
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -25,6 +25,8 @@
 from zinniadyke.platform._target_load import Load
 from zinniadyke.platform._target_load import parse_load
 from zinniadyke.platform._template import render_template
+from zinniadyke.platform._token_counts import parse_token_counts
+from zinniadyke.platform._token_counts import TokenCounts
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
 
@@ -44,6 +46,7 @@
     "Revision",
     "StoreClient",
     "StoredObject",
+    "TokenCounts",
     "compare_and_swap",
     "follow_configuration",
     "follow_evacuations",
@@ -53,6 +56,7 @@
     "parse_limit",
     "parse_load",
     "parse_retry_after",
+    "parse_token_counts",
     "render_template",
     "shared_prompt_parts",
     "update",
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -57,6 +57,8 @@
     # Slots that requests of a route leave free for more urgent ones.
     RESERVED_SLOTS = "reserved_slots"
     QUEUE_LENGTH = "queue_length"
+    # Mean over the used targets of a service that report it.
+    HOST_SLOWNESS = "host_slowness"
     WEIGHTS_VERSION = "weights_version"
     ORDERS = "orders"
 
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -125,6 +125,7 @@
     name = "bench placement"
     description = "Measures who is served on heavy loads; no network."
     options = [
+        option("load", None, "'shared hosts', or all", flag=False, default=""),
         option("seconds", None, "Time a load.", flag=False, default="30"),
         option("seed", None, "Seed.", flag=False, default="1"),
         option(
@@ -144,7 +145,19 @@
             seconds=positive_integer(self, "seconds"),
             seed=positive_integer(self, "seed"),
         )
-        method = self.option("classes")
+        load, method = self.option("load"), self.option("classes")
+        if load:
+            if load != bench.SHARED_HOSTS:
+                raise errors.UserError(
+                    f"--load must be '{bench.SHARED_HOSTS}'"
+                )
+            if method != "none":
+                raise errors.UserError(
+                    "--load and --classes exclude each other"
+                )
+            for row in bench.run_shared_hosts(options):
+                self.line(json.dumps(msgspec.to_builtins(row)))
+            return 0
         if method == "none":
             return print_result(self, bench.run_placement(options))
         methods = list(bench.METHODS) if method == "all" else [method]
