--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -286,11 +286,8 @@
         self.published = set(by_priority)
 
     def _has_classes(self) -> bool:
-        """Whether the configuration's routes differ in priority."""
-        configuration = self.target_table.view.configuration
-        return configuration is not None and configuration.has_classes(
-            self.service
-        )
+        """Whether routes to the service differ in priority."""
+        return self.target_table.has_classes(self.service)
 
     def _plan_wait(
         self,
--- a/zinniadyke/gateway/_placement.py
+++ b/zinniadyke/gateway/_placement.py
@@ -47,6 +47,7 @@
     *,
     mean_response_s: float,
     work: _request_work.RequestWork = _request_work.UNKNOWN_WORK,
+    predicts_all: bool = False,
 ) -> _target_state.TargetState | None:
     """Return the target with the lowest cost, or None if all are full.
 
@@ -62,6 +63,9 @@
         switches weights sooner is likely to interrupt the response.
     work
         Tokens of the request and the arithmetic of the engines.
+    predicts_all
+        Whether the times of engines without figures of their host are
+        predicted too; their slowness counts as usual.
     """
     now = time.monotonic()
     best, best_cost = None, float("inf")
@@ -77,8 +81,8 @@
                 remaining_s, mean_response_s
             )
         cost += _link_load(state)
-        if state.host is not None:
-            host_load = host_load or _host_load(work, now)
+        if state.host is not None or predicts_all:
+            host_load = host_load or _host_load(work, now, predicts_all)
             cost += host_load(state, load)
         cost += random.random() * 0.5
         if cost < best_cost:
@@ -101,7 +105,7 @@
 
 
 def _host_load(
-    work: _request_work.RequestWork, now: float
+    work: _request_work.RequestWork, now: float, predicts_all: bool
 ) -> Callable[[_target_state.TargetState, int], float]:
     """Return what maps a target and its load to a penalty.
 
@@ -110,9 +114,12 @@
     penalty = slowness_load(work)
 
     def host_load(state: _target_state.TargetState, load: int) -> float:
-        figures = state.host
+        figures = state.ensure_host_figures()
         total = 0.0
-        if figures.slowness is not None:
+        if figures.slowness is None:
+            if predicts_all:
+                total = penalty(state, load, 1.0)
+        else:
             total = penalty(state, load, figures.slowness.factor(now))
         if figures.kv_memory is not None:
             free_tokens = figures.kv_memory.free_tokens(now)
--- a/zinniadyke/gateway/_slots.py
+++ b/zinniadyke/gateway/_slots.py
@@ -139,4 +139,5 @@
             has_free_slot,
             mean_response_s=mean_response_s,
             work=call.work,
+            predicts_all=self.target_table.has_classes(self.service),
         )
--- a/zinniadyke/gateway/_target_state.py
+++ b/zinniadyke/gateway/_target_state.py
@@ -286,7 +286,7 @@
         factor
             1.0 is usual. Absurd figures are logged once and ignored.
         """
-        figures = self._host_figures()
+        figures = self.ensure_host_figures()
         if not _slowness.is_plausible(factor):
             self._log_absurd_figure("slowness", factor)
         elif figures.slowness is None:
@@ -333,7 +333,7 @@
         """How much longer work takes on the host; None if not reported."""
         return None if self.host is None else self.host.slowness
 
-    def _host_figures(self) -> _host_figures.HostFigures:
+    def ensure_host_figures(self) -> _host_figures.HostFigures:
         if self.host is None:
             self.host = _host_figures.HostFigures()
         return self.host
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -410,6 +410,11 @@
         found = configuration and configuration.services.get(service)
         return found.engine.layers if found and found.engine else 0
 
+    def has_classes(self, service: ids.ServiceName) -> bool:
+        """Whether routes to a service differ in priority."""
+        configuration = self.view.configuration
+        return configuration is not None and configuration.has_classes(service)
+
     def has_engine(self, service: ids.ServiceName) -> bool:
         """Whether a service's targets run models."""
         configuration = self.view.configuration
