--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -41,6 +41,9 @@
 # A request waits for a slot with at least this chance to get one within its
 # objective. Refused at once, it would be late for certain.
 MIN_SLOT_CHANCE = 0.25
+# Part of the objective that the time to the first event may take up before a
+# request that has just arrived counts as late.
+MAX_MARGIN_PART = 0.75
 
 
 class Admission:
@@ -315,7 +318,7 @@
         call.expected_wait_s = (
             token_wait_s if waits_for_token else min(slot_wait_s, token_wait_s)
         )
-        call.max_wait_s = self.waits.max_wait_s(call)
+        call.max_wait_s = self._max_wait_s(call)
         if 0 < token_wait_s < call.max_wait_s:
             # An entry's own share falls due without any message.
             eventlet.spawn_after(token_wait_s, self.admit_waiting)
@@ -351,7 +354,18 @@
 
     def _is_late(self, call: _call.Call) -> bool:
         """Whether a call can no longer be answered within its objective."""
-        return self.waits.max_wait_s(call) <= 0
+        return self._max_wait_s(call) <= 0
+
+    def _max_wait_s(self, call: _call.Call) -> float:
+        """Return the longest wait that still meets a call's objective.
+
+        Load: targets that are so full or slow that first events take longer
+        than the objective. Requests that have just arrived still go before
+        those that are late for certain, and so the targets recover.
+        """
+        if self.has_variable_capacity():
+            return self.waits.max_wait_s(call, MAX_MARGIN_PART)
+        return self.waits.max_wait_s(call)
 
     def _goes_first(self, call: _call.Call) -> bool:
         """Whether a call is more urgent than all that it competes with."""
@@ -377,10 +391,10 @@
         candidates: list[_target_state.TargetState],
         has_classes: bool,
     ) -> _target_state.TargetState | None:
-        if has_classes:
+        late = self.has_variable_capacity() and self._is_late(call)
+        if has_classes or late:
             reserved = self._reserved(
-                candidates,
-                LATE_RANK if self._is_late(call) else call.route.priority,
+                candidates, LATE_RANK if late else call.route.priority
             )
             call.reserved_slots = reserved
             if reserved and reserved >= sum(
@@ -403,7 +417,11 @@
     ) -> int:
         """Return how many of the targets' free slots a class leaves free."""
         if not self._has_classes():
-            return 0
+            return (
+                self._reserved_for_in_time(states)
+                if (rank == LATE_RANK)
+                else 0
+            )
         reserved = sum(
             _reservation.reserved_slots(
                 state.known_demand,
@@ -419,6 +437,27 @@
             return 0
         return self.slots.round(reserved)
 
+    def _reserved_for_in_time(
+        self, states: list[_target_state.TargetState]
+    ) -> int:
+        """Return how many slots late requests leave to those in time.
+
+        Load: a backlog of late requests that takes each slot as it becomes
+        free; those that arrive then wait for slots at full targets and
+        become late too.
+        """
+        if not states:
+            return 0
+        per_s = sum(self.demand.per_s().values())
+        slots = sum(s.target.slots for s in states) / len(states)
+        return self.slots.round(
+            per_s
+            * (
+                _reservation.REPORT_INTERVAL_S
+                + self.waits.mean_response_s / max(slots, 1.0)
+            )
+        )
+
     def _new_competition(self) -> _competition.Competition:
         return _competition.Competition(target_table=self.target_table)
 
--- a/zinniadyke/gateway/_waits.py
+++ b/zinniadyke/gateway/_waits.py
@@ -134,13 +134,22 @@
         """Return the longest wait that leaves time for a late answer."""
         return call.remaining_s - self.mean_response_s
 
-    def max_wait_s(self, call: _call.Call) -> float:
-        """Return the longest wait that still meets the objective."""
-        until_objective_s = (
-            call.objective_at
-            - time.monotonic()
-            - self.mean_first_event_s * FIRST_EVENT_MARGIN
+    def max_wait_s(
+        self, call: _call.Call, max_margin_part: float = math.inf
+    ) -> float:
+        """Return the longest wait that still meets the objective.
+
+        Parameters
+        ----------
+        max_margin_part
+            Part of the objective that the time to the first event counts as
+            at most.
+        """
+        margin_s = min(
+            self.mean_first_event_s * FIRST_EVENT_MARGIN,
+            call.route.objective_s * max_margin_part,
         )
+        until_objective_s = call.objective_at - time.monotonic() - margin_s
         return min(until_objective_s, call.remaining_s)
 
 
