--- a/zinniadyke/directory/_target.py
+++ b/zinniadyke/directory/_target.py
@@ -48,7 +48,15 @@
 
 
 class DesiredWeights(msgspec.Struct, frozen=True, kw_only=True):
-    """The version of a model's weights that targets shall hold."""
+    """The version of a model's weights that targets shall hold.
+
+    Attributes
+    ----------
+    recorded_since
+        Time of :func:`zinniadyke.uptime.now_s` at which the store's record
+        says that the version was named; None without a usable record.
+    """
 
     model: ids.ModelName
     version: ids.WeightsVersion
+    recorded_since: float | None = None
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -58,6 +58,13 @@
     evacuated_zones
         Zones that are evacuated now: those of the list, and for a time those
         that a restored store does not list any more.
+    guessed_versions
+        Versions whose time is the end of an outage of the store, unless a
+        record in the store says that they were named before.
+    on_observed
+        Functions that are called with a model, a version and its time of
+        naming when this process, which has listed the versions before,
+        learns the time of a newer one, but not from the end of an outage.
     on_change
         Functions that are called without arguments after each change.
     """
@@ -75,6 +82,12 @@
             dict[ids.ModelName, ids.WeightsVersion] | None
         ) = None
         self.watches_versions = False
+        self.guessed_versions: set[
+            tuple[ids.ModelName, ids.WeightsVersion]
+        ] = set()
+        self.on_observed: list[
+            Callable[[ids.ModelName, ids.WeightsVersion, float], None]
+        ] = []
         self.leaving: dict[tuple[ids.TargetId, int], None] = {}
         self.follows_evacuations = False
         self.evacuations: _evacuations.Evacuations | None = None
@@ -227,7 +240,10 @@
 
         The versions of the first list were desired before it, at an unknown
         time. After an outage of the store the end of the outage counts, as
-        it does in other processes that read the list then.
+        it does in other processes that read the list then. An earlier time
+        that the store records replaces this guess and an unknown time. It
+        does not replace a time that was observed, from which it differs by
+        the margin for clocks.
 
         Parameters
         ----------
@@ -235,7 +251,8 @@
             Whether the store has just become reachable again for this
             process.
         """
-        known = self.listed_versions is not None or after_outage
+        observed = self.listed_versions is not None and not after_outage
+        known = observed or after_outage
         since = uptime.now_s() if known else UNKNOWN_SINCE
         listed_versions = self.listed_versions = self.listed_versions or {}
         for desired in desired_weights:
@@ -247,8 +264,44 @@
                 self._set_desired(desired.model, desired.version, since)
             elif since_by_version.get(desired.version) == UNKNOWN_SINCE:
                 since_by_version[desired.version] = since
+            else:
+                continue
+            if after_outage:
+                self.guessed_versions.add((desired.model, desired.version))
+            if observed:
+                self._notify_observed(desired.model, desired.version)
+        for desired in desired_weights:
+            self._apply_record(desired)
         self._notify()
 
+    def needs_record(
+        self, model: ids.ModelName, version: ids.WeightsVersion
+    ) -> bool:
+        """Whether an earlier time in the store's record would be used."""
+        since = self.desired_since.get(model, {}).get(version, UNKNOWN_SINCE)
+        return (
+            since == UNKNOWN_SINCE or (model, version) in self.guessed_versions
+        )
+
+    def _apply_record(self, desired: _target.DesiredWeights) -> None:
+        model, version = desired.model, desired.version
+        recorded = desired.recorded_since
+        since = self.desired_since.get(model, {}).get(version)
+        if recorded is None or since is None:
+            return
+        if not self.needs_record(model, version):
+            return
+        if since == UNKNOWN_SINCE or recorded < since:
+            self.desired_since[model][version] = recorded
+            LOG.info(
+                "time of naming read from the store",
+                extra={
+                    "model": model,
+                    "version": version,
+                    "age_ms": _age_ms(uptime.now_s(), recorded),
+                },
+            )
+
     def learn_desired_weights(
         self,
         model: ids.ModelName,
@@ -278,6 +331,20 @@
             self._learn_newer(model, version, since)
         elif known == UNKNOWN_SINCE or since < known:
             self.desired_since[model][version] = since
+        # A version of the first list was not observed by this process.
+        if known in (None, UNKNOWN_SINCE) and (
+            self.listed_versions is not None
+            and self.listed_versions.get(model, 0) < version
+        ):
+            self._notify_observed(model, version)
+
+    def _notify_observed(
+        self, model: ids.ModelName, version: ids.WeightsVersion
+    ) -> None:
+        since = self.desired_since.get(model, {}).get(version)
+        if since is not None:
+            for callback in self.on_observed:
+                callback(model, version, since)
 
     def _learn_newer(
         self,
@@ -314,7 +381,9 @@
         since_by_version = self.desired_since.setdefault(model, {})
         since_by_version[version] = since
         while len(since_by_version) > MAX_VERSIONS_PER_MODEL:
-            del since_by_version[min(since_by_version)]
+            oldest = min(since_by_version)
+            del since_by_version[oldest]
+            self.guessed_versions.discard((model, oldest))
         LOG.info("weights named", extra={"model": model, "version": version})
 
     def targets_of_service(
--- a/zinniadyke/fakes/_store.py
+++ b/zinniadyke/fakes/_store.py
@@ -10,6 +10,7 @@
 from zinniadyke.fakes import _http
 
 MS_PER_S = 1000.0
+STATUS_SUFFIX = "/status"
 
 
 class FakeStore:
@@ -77,6 +78,19 @@
         self._record_change(kind, stored, removed=False)
         return stored
 
+    def put_status(self, kind: str, name: str, status: object) -> dict:
+        """Replace the status of an object, as another writer would."""
+        self.revision += 1
+        before = self.objects[kind][name]
+        stored = {
+            **before,
+            "metadata": {**before["metadata"], "revision": self.revision},
+            "status": status,
+        }
+        self.objects[kind][name] = stored
+        self._record_change(kind, stored, removed=False)
+        return stored
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         self.revision += 1
@@ -126,6 +140,8 @@
             return _http.answer(start_response, f"{self.down} Down")
         path = environ["PATH_INFO"].removeprefix("/v1/objects/")
         kind, _, name = path.partition("/")
+        if writes and name.endswith(STATUS_SUFFIX):
+            return self._write_status(kind, environ, start_response)
         if writes:
             return self._write(kind, environ, start_response)
         if name:
@@ -173,6 +189,23 @@
             _http.abort_connection()
         return _http.answer_json(start_response, current)
 
+    def _write_status(self, kind: str, environ, start_response):
+        """Replace a status if the object is at the stated revision."""
+        requested = msgspec.json.decode(_http.read_body(environ))
+        name, revision = (
+            requested["metadata"][field] for field in ("name", "revision")
+        )
+        current = self.objects.get(kind, {}).get(name)
+        if current is None:
+            return _http.answer(start_response, "404 Not Found")
+        if revision != current["metadata"]["revision"]:
+            return _http.answer_json(start_response, current, "409 Conflict")
+        current = self.put_status(kind, name, requested["status"])
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            _http.abort_connection()
+        return _http.answer_json(start_response, current)
+
     def _list(self, kind: str, after: str, start_response):
         visible_objects = self.visible_objects(kind)
         names = sorted(n for n in visible_objects if n > after)
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -29,6 +29,7 @@
 from zinniadyke.platform._token_counts import TokenCounts
 from zinniadyke.platform._update import compare_and_swap
 from zinniadyke.platform._update import update
+from zinniadyke.platform._version_record import record_version
 
 __all__ = [
     "HOSTS_KIND",
@@ -57,6 +58,7 @@
     "parse_load",
     "parse_retry_after",
     "parse_token_counts",
+    "record_version",
     "render_template",
     "shared_prompt_parts",
     "update",
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -11,6 +11,7 @@
 from zinniadyke.platform import _decode_target
 from zinniadyke.platform import _revision
 from zinniadyke.platform import _store
+from zinniadyke.platform import _version_record
 
 LOG = logging.getLogger(__name__)
 
@@ -20,7 +21,6 @@
 # Each heartbeat of a target changes its registration, so a pause after each
 # call lets the next return many changes.
 TARGETS_BATCH_WINDOW_S = 0.3
-VERSIONS_KIND = "versions"
 # Each object's name is that of an evacuated zone.
 EVACUATIONS_KIND = "evacuations"
 
@@ -64,16 +64,36 @@
     store: _store.StoreClient, view: directory.View
 ) -> directory.Follower:
     """Return a follower that sets the view's desired weights."""
+    # Era and revision of each object whose record was read, by name.
+    read_records: dict[str, tuple[int, int]] = {}
+
+    def read_record(
+        stored: _store.StoreObject, desired: directory.DesiredWeights
+    ) -> directory.DesiredWeights:
+        name = stored.metadata.name
+        change = store.era, stored.metadata.revision
+        # A record that is not needed is not read, so that it is not logged.
+        if read_records.get(name) == change or not view.needs_record(
+            desired.model, desired.version
+        ):
+            return desired
+        read_records[name] = change
+        return msgspec.structs.replace(
+            desired,
+            recorded_since=_version_record.recorded_since(
+                stored, desired.version
+            ),
+        )
 
     def on_update(objects: dict[str, _store.StoreObject]) -> None:
         desired_weights = []
         for stored in objects.values():
             try:
-                desired_weights.append(
-                    _decode_target.decode_desired_weights(stored)
-                )
+                desired = _decode_target.decode_desired_weights(stored)
             except ValueError as error:
                 _log_unreadable(stored, error)
+                continue
+            desired_weights.append(read_record(stored, desired))
         for desired in desired_weights:
             known = view.desired_weights.get(desired.model, 0)
             if desired.version < known:
@@ -90,7 +110,7 @@
             desired_weights, after_outage=follower.outage_just_ended
         )
 
-    follower = _make_follower(store, VERSIONS_KIND, on_update)
+    follower = _make_follower(store, _version_record.VERSIONS_KIND, on_update)
     return follower
 
 
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -94,6 +94,13 @@
     """An answer does not say its era although earlier ones did."""
 
 
+class _StatusWrite(msgspec.Struct, kw_only=True):
+    """Body of a write that leaves the spec as it is."""
+
+    metadata: ObjectMetadata
+    status: msgspec.Raw
+
+
 class _ListAnswer(msgspec.Struct):
     items: list[msgspec.Raw]
     current_rev: int
@@ -188,6 +195,23 @@
         name = wanted.metadata.name
         return self._write("PUT", _path(kind, name), wanted)
 
+    def replace_status(self, kind: str, wanted: StoreObject) -> StoreObject:
+        """Replace an object's status if it is at the revision of ``wanted``.
+
+        Raises
+        ------
+        ConflictError
+            The object is at another revision or was removed.
+        PlatformError
+            The status may or may not have been replaced.
+        """
+        path = f"{_path(kind, wanted.metadata.name)}/status"
+        return self._write(
+            "PUT",
+            path,
+            _StatusWrite(metadata=wanted.metadata, status=wanted.status),
+        )
+
     def list_objects(self, kind: str, *, stale: bool = False) -> ObjectList:
         """Return all objects of a kind; skip unreadable ones.
 
@@ -315,7 +339,7 @@
         self.era_known = True
 
     def _write(
-        self, method: str, path: str, wanted: StoreObject
+        self, method: str, path: str, wanted: StoreObject | _StatusWrite
     ) -> StoreObject:
         answer = self._call(
             method,
--- a/zinniadyke/sidecar/_list_reader.py
+++ b/zinniadyke/sidecar/_list_reader.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import time
 
+from eventlet import semaphore
+
 from zinniadyke import directory
 
 # Pause after a list that the store did not answer.
@@ -31,6 +33,7 @@
         self.clock = clock
         self.read_at = float("-inf")
         self.failed_at = float("-inf")
+        self.lock = semaphore.Semaphore()
 
     @property
     def age_s(self) -> float:
@@ -39,12 +42,14 @@
 
     def refresh(self, max_age_s: float) -> None:
         """List the objects again if the last list is older than this."""
-        if (
-            self.age_s <= max_age_s
-            or self.clock() - self.failed_at < RETRY_PAUSE_S
-        ):
-            return
-        if self.follower.try_relist():
-            self.read_at = self.clock()
-        else:
-            self.failed_at = self.clock()
+        # Tasks that need the list at the same time share one call.
+        with self.lock:
+            if (
+                self.age_s <= max_age_s
+                or self.clock() - self.failed_at < RETRY_PAUSE_S
+            ):
+                return
+            if self.follower.try_relist():
+                self.read_at = self.clock()
+            else:
+                self.failed_at = self.clock()
--- a/zinniadyke/sidecar/_sidecar.py
+++ b/zinniadyke/sidecar/_sidecar.py
@@ -81,6 +81,7 @@
                 self.token_lender.run,
                 self.weights_updater.fetch,
                 self.weights_updater.switch,
+                self.weights_updater.version_recorder.run,
                 self.weights_updater.piece_exchange.announce_pieces,
             )
         ]
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -1,6 +1,7 @@
 """Fetches the wanted weights and has the target load them."""
 
 from collections.abc import Callable
+import functools
 import logging
 import time
 
@@ -23,6 +24,7 @@
 from zinniadyke.sidecar import _pieces
 from zinniadyke.sidecar import _schedule
 from zinniadyke.sidecar import _staging
+from zinniadyke.sidecar import _version_recorder
 from zinniadyke.sidecar import _weights_fetcher
 from zinniadyke import telemetry
 from zinniadyke import uptime
@@ -120,6 +122,12 @@
         )
         peer_server.holds_version = self._holds_version
         peer_server.piece_count = self._piece_count
+        self.version_recorder = _version_recorder.VersionRecorder(
+            my_ip=loaded.host.ip,
+            find_hosts=self._agent_hosts,
+            record=functools.partial(platform.record_version, store),
+        )
+        view.on_observed.append(self.version_recorder.handle_observed)
         self.changed = directory.Signal()
         view.on_change.append(self.changed.send)
 
@@ -488,6 +496,28 @@
         self.targets.refresh(PEERS_REFRESH_S)
         return self.view.targets_of_service(self._service())
 
+    def _agent_hosts(self, model: ids.ModelName) -> set[str]:
+        """Return the hosts of targets that are to hold a model.
+
+        Targets without a model usually have no agent.
+        """
+        self.targets.refresh(PEERS_REFRESH_S)
+        services = (
+            self.view.configuration.services
+            if (self.view.configuration)
+            else {}
+        )
+        names = {
+            s.name
+            for s in services.values()
+            if s.engine is not None and model in s.engine.models
+        }
+        return {
+            t.host_ip
+            for t in (self.view.targets or {}).values()
+            if t.service in names
+        }
+
     def _holds_version(self, model: str, version: int) -> bool:
         return self._held_version(ids.ModelName(model)) == version
 
