--- a/tests/platform/test_version_record.py
+++ b/tests/platform/test_version_record.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from tests import clock
@@ -10,6 +11,7 @@
 from zinniadyke import fakes
 from zinniadyke.gateway import _target_table
 from zinniadyke import platform
+from zinniadyke.platform import _store
 from zinniadyke.platform import _version_record
 from zinniadyke import uptime
 
@@ -79,7 +81,7 @@
         [],
         {"version": 2},
         {"version": "2", "named_unix_ms": 1},
-        {"version": 2, "named_unix_ms": 1e400},
+        {"version": 2, "named_unix_ms": None},
     ],
 )
 def test_unusable_status_leaves_the_time_unknown(store, client, status):
@@ -90,6 +92,14 @@
     assert age_s(view) is None
 
 
+def test_number_that_is_too_large_does_not_end_the_update():
+    status = b'{"version": 2, "named_unix_ms": 1' + b"0" * 400 + b"}"
+    stored = _store.StoreObject(
+        metadata=_store.ObjectMetadata(name="m"), status=msgspec.Raw(status)
+    )
+    assert _version_record.recorded_since(stored, 2) is None
+
+
 @pytest.mark.parametrize(
     ("age", "version"), [(-60.0, 2), (601.0, 2), (4.0, 1), (4.0, 3)]
 )
--- a/zinniadyke/platform/_version_record.py
+++ b/zinniadyke/platform/_version_record.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -24,7 +25,8 @@
 
 class _VersionStatus(msgspec.Struct):
     version: int
-    named_unix_ms: int
+    # A greater number would not convert to a float exactly, or at all.
+    named_unix_ms: Annotated[int, msgspec.Meta(le=1 << 53)]
 
 
 class _VersionSpec(msgspec.Struct):
