--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -250,7 +250,8 @@
             candidates,
             self.zone_penalty,
             lambda s: not engine or s.free_slots > 0,
-            mean_response_s=admission.mean_response_s,
+            mean_response_s=admission.waits.mean_response_s,
+            work=call.work,
         )
         if preferred is None or not preferred.limited_as_cold:
             return
