--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -251,6 +251,8 @@
             self.zone_penalty,
             lambda s: not engine or s.free_slots > 0,
             mean_response_s=admission.waits.mean_response_s,
+            work=call.work,
+            predicts_all=self.target_table.has_classes(call.service),
         )
         if preferred is None or not preferred.limited_as_cold:
             return
