--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -41,6 +41,8 @@
 # A request waits for a slot with at least this chance to get one within its
 # objective. Refused at once, it would be late for certain.
 MIN_SLOT_CHANCE = 0.25
+# Interval at which it is checked whether capacity is variable.
+VARIABILITY_CHECK_S = 0.2
 # Part of the objective that the time to the first event may take up before a
 # request that has just arrived counts as late.
 MAX_MARGIN_PART = 0.75
@@ -78,6 +80,8 @@
         self.record = _class_record.ClassRecord()
         self.queue.rank_of = self._rank_of
         self.published: set[int] = set()
+        self.variable_capacity = False
+        self.variability_checked_at = float("-inf")
         self.slots = _slots.Slots(
             target_table=target_table,
             service=service,
@@ -242,10 +246,14 @@
         and hosts that share their processors with other work. Elsewhere a
         request that misses its objective gains nothing by waiting.
         """
-        return self._has_classes() or any(
-            s.slowness is not None
-            for s in self.target_table.used.get(self.service, ())
-        )
+        now = time.monotonic()
+        if now > self.variability_checked_at + VARIABILITY_CHECK_S:
+            self.variability_checked_at = now
+            self.variable_capacity = self._has_classes() or any(
+                s.slowness is not None
+                for s in self.target_table.used.get(self.service, ())
+            )
+        return self.variable_capacity
 
     def recheck_waiting(self) -> None:
         """Let all waiting requests look for a target again.
