--- a/zinniadyke/platform/_version_record.py
+++ b/zinniadyke/platform/_version_record.py
@@ -39,7 +39,7 @@
     """Return when a version was named, by the uptime clock.
 
     None if the object has no usable record for the version; the reason is
-    logged unless the object has no status at all.
+    logged unless the object has no status, or that of an earlier version.
     """
     if bytes(stored.status) in (b"", b"null"):
         return None
@@ -47,7 +47,10 @@
         status = msgspec.json.decode(stored.status, type=_VersionStatus)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return _ignore(stored, reason=str(error))
-    if status.version != version:
+    if status.version < version:
+        # The operator's write keeps the status of the version before.
+        return None
+    if status.version > version:
         return _ignore(stored, reason="status of another version")
     age_s = time.time() - status.named_unix_ms / MS_PER_S
     if not 0.0 <= age_s <= MAX_RECORD_AGE_S:
