--- a/tests/gateway/test_slot_shares.py
+++ b/tests/gateway/test_slot_shares.py
@@ -321,3 +321,55 @@
     assert [
         s.headers.get("x-zinniadyke-request-priority") for s in seen
     ] == expected
+
+
+def full_entry(completions):
+    """Return an entry without free slots, at which some ended just now."""
+    entry = Entry()
+    for _ in range(2 * SLOTS):
+        entry.acquire()
+    entry.admission.completion_times.extend([time.monotonic()] * completions)
+    return entry
+
+
+def test_request_in_time_goes_before_one_that_is_late():
+    """Late callers took the slots of those that could be answered in time."""
+    entry = full_entry(completions=20)
+    served = []
+    for name, objective_s in (("late", -1.0), ("in time", 5.0)):
+        eventlet.spawn(
+            lambda n, s: served.append((n, entry.acquire(objective_s=s))),
+            name,
+            objective_s,
+        )
+        eventlet.sleep(0.01)
+    for zone in REGIONS:
+        entry.admission.release(entry.table.states[zone])
+        eventlet.sleep(0.01)
+    assert [name for name, _ in served] == ["in time", "late"]
+
+
+def test_late_request_is_refused_at_once_if_no_slot_is_left():
+    """It would wait until its deadline in vain."""
+    entry = full_entry(completions=1)
+    waiting = [eventlet.spawn(entry.acquire) for _ in range(4)]
+    eventlet.sleep(0.01)
+    started_at = time.monotonic()
+    with pytest.raises(errors.RequestError) as raised:
+        entry.acquire(objective_s=-1.0)
+    assert time.monotonic() - started_at < 0.1
+    assert raised.value.code is errors.ResultCode.QUEUE_FULL
+    for task in waiting:
+        task.kill()
+
+
+def test_request_that_misses_its_objective_waits_on():
+    """Refused, its caller came back as a new one."""
+    entry = full_entry(completions=20)
+    served = []
+    eventlet.spawn(lambda: served.append(entry.acquire(objective_s=0.5)))
+    eventlet.sleep(0.7)
+    assert not served
+    entry.admission.release(entry.table.states["z1"])
+    eventlet.sleep(0.01)
+    assert len(served) == 1
