--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -10,6 +10,7 @@
 from pythonjsonlogger import json as json_logger
 
 from tests.gateway import deployment as deploy
+from zinniadyke import directory
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
@@ -96,6 +97,13 @@
     (line,) = grep(log, "any-1")
     known = {*line, "first_ms", "gap_ms", "waiting", "expected_wait_ms"}
     known |= {"patience_ms", "target", "outcome", "reason", "after_ms"}
+    view = directory.View()
+    view.set_evacuations(
+        directory.Evacuations(era=0, revision=1, zones=frozenset({"z1"})),
+        source="store",
+    )
+    (line,) = [r for r in log if r["message"] == "evacuations in force"]
+    known |= line.keys()
     shown = re.findall(r'^    .*?"message": ', PAGE.read_text(), re.M)
     assert len(shown) >= 3
     for block in re.findall(r"^    \{.*?\}$", PAGE.read_text(), re.M | re.S):
