--- a/zinniadyke/gateway/_admission.py
+++ b/zinniadyke/gateway/_admission.py
@@ -2,7 +2,8 @@
 
 Under overload there are more requests than engine slots. A request queues
 only while it can still be answered within its objective; otherwise it is
-rejected immediately, with an estimate of when a slot will be free.
+rejected immediately, with an estimate of when a slot will be free. Where
+capacity is variable it may also queue behind all those, until its deadline.
 """
 
 import collections
