--- a/tests/gateway/test_slot_shares.py
+++ b/tests/gateway/test_slot_shares.py
@@ -12,6 +12,7 @@
 from zinniadyke import directory
 from zinniadyke import errors
 from zinniadyke.gateway import _load_listener
+from zinniadyke.gateway import _request_work
 from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import admission
@@ -76,25 +77,31 @@
             state.record_load(0, 0)
 
     def acquire(self, route=ROUTE, region=None, objective_s=5.0):
+        return self.admission.acquire(self.call(route, region, objective_s))
+
+    def call(self, route=ROUTE, region=None, objective_s=5.0, **more):
         now = time.monotonic()
-        return self.admission.acquire(
-            admission.Call(
-                request=None,
-                id=ids.RequestId("q"),
-                route=route,
-                service=ROUTE.backends[0].service,
-                workspace=None,
-                priority=route.priority,
-                deadline=now + 6.0,
-                objective_at=now + objective_s,
-                model="m",
-                allowed_regions=region and frozenset([region]),
-                configuration=self.table.view.configuration,
-                last_event_id="",
-                tried=[],
-            )
+        return admission.Call(
+            request=None,
+            id=ids.RequestId("q"),
+            route=route,
+            service=ROUTE.backends[0].service,
+            workspace=None,
+            priority=route.priority,
+            deadline=now + 6.0,
+            objective_at=now + objective_s,
+            model="m",
+            allowed_regions=region and frozenset([region]),
+            configuration=self.table.view.configuration,
+            last_event_id="",
+            tried=[],
+            **more,
         )
 
+    def waiting_lanes(self):
+        """Return whether each lane in which requests wait is late."""
+        return [lane.late for lane in self.admission.queue.waiting_by_lane]
+
 
 def test_requests_of_different_regions_do_not_block_one_another():
     """A slot of one region must not wait for a request of another."""
@@ -373,3 +380,64 @@
     entry.admission.release(entry.table.states["z1"])
     eventlet.sleep(0.01)
     assert len(served) == 1
+
+
+def test_request_waits_in_time_if_a_slot_may_come_in_time():
+    """By the mean wait it counted as late where slots are seldom free."""
+    # Two completions a second: a mean wait of 0.5 s, of which 0.3 s are left
+    # after the time to the first event.
+    entry = full_entry(completions=4)
+    left_s = 0.3 + entry.admission.waits.mean_first_event_s * 1.3
+    task = eventlet.spawn(entry.acquire, objective_s=left_s)
+    eventlet.sleep(0.01)
+    assert entry.waiting_lanes() == [False]
+    task.kill()
+
+
+def test_slow_first_events_do_not_make_new_requests_late():
+    """All that arrived became late, so the targets did not recover."""
+    entry = full_entry(completions=20)
+    entry.admission.waits.mean_first_event_s = 2 * ROUTE.objective_s
+    task = eventlet.spawn(entry.acquire, objective_s=ROUTE.objective_s)
+    eventlet.sleep(0.01)
+    assert entry.waiting_lanes() == [False]
+    task.kill()
+
+
+def test_late_requests_leave_slots_to_those_in_time():
+    """A backlog of late requests took each slot as it became free."""
+    entry = Entry(routes=(ROUTE,))
+    for state in entry.table.states.values():
+        state.record_slowness(1.0)
+    # More arrive in time than slots become free until the next report.
+    scope = entry.call().scope
+    for _ in range(40):
+        entry.admission.demand.record(scope, ROUTE.priority)
+    late = eventlet.spawn(entry.acquire, objective_s=-1.0)
+    eventlet.sleep(0.01)
+    assert entry.waiting_lanes() == [True]
+    assert entry.acquire().target.zone in REGIONS
+    late.kill()
+
+
+def test_classes_spread_prompts_over_equally_loaded_targets():
+    """Prompts that are not processed yet delay one another at a target."""
+    entry = Entry()
+    entry.table.states["z1"].ensure_host_figures()
+    entry.table.states["z2"].ensure_host_figures()
+    entry.table.states["z1"].record_load(1, 0)
+    entry.table.states["z2"].record_load(0, 1)
+    profile = entry.table.view.configuration.services[
+        ROUTE.backends[0].service
+    ].engine
+    call = entry.call(
+        work=_request_work.RequestWork(engine=profile, prompt_tokens=2000)
+    )
+    states = list(entry.table.states.values())
+    chosen = {
+        entry.admission.slots.choose(
+            call, states, lambda state: True, 1.0
+        ).target.zone
+        for _ in range(40)
+    }
+    assert chosen == {"z1"}
--- a/tests/sidecar/test_load_reporter.py
+++ b/tests/sidecar/test_load_reporter.py
@@ -54,3 +54,18 @@
     assert sent[-1].evacuations == evacuations(1, 7, "z1")
     sent[-1] = reports.decode(reports.encode(sent[-1]))
     assert sent[-1].evacuations == evacuations(1, 7, "z1")
+
+
+def test_refused_callers_go_to_the_other_entries_of_the_region(reporter):
+    """An entry that did not refuse a caller would take it for a new one."""
+    sent = []
+    reporter._send_to = lambda data, receiver: sent.append(receiver)
+    for port, region in ((1, "r1"), (2, "r1"), (3, "r2")):
+        reporter._handle_subscription(
+            reports.Subscribe(entry=f"e{port}", named={}, region=region),
+            ("127.0.0.1", port),
+        )
+    reporter.relay_to_region(
+        reports.RefusedCallers(callers=[]), ("127.0.0.1", 1)
+    )
+    assert sent == [("127.0.0.1", 2)]
