--- a/zinniadyke/requests/_cold_limit.py
+++ b/zinniadyke/requests/_cold_limit.py
@@ -13,7 +13,7 @@
 # Time in which a request is sent after it has used its entry's own share.
 SHARE_LIFETIME_S = 0.1
 # Keeps a whole number of intervals from fitting into the time exactly.
-BELOW = 0.999
+RATE_MARGIN = 0.999
 # Part of the shares' rate that is used if an entry has less than one request
 # a second: random phases put more than twice the mean of 8 into one second
 # in about one of 10,000 seconds.
@@ -111,4 +111,4 @@
     The window is a second and the lifetime before it.
     """
     whole = math.floor(per_s) if per_s >= 1 else per_s
-    return whole * BELOW / (WINDOW_S + lifetime_s)
+    return whole * RATE_MARGIN / (WINDOW_S + lifetime_s)
