--- a/review/standins.py
+++ b/review/standins.py
@@ -297,6 +297,8 @@
         Ids of the requests that run now.
     runs
         Ids of all requests that have begun to run.
+    bodies
+        Body of each of these, by id.
     answered
         Ids of those that were answered whole.
     dropped
@@ -335,6 +337,7 @@
         self.held = 0
         self.running: set[str] = set()
         self.runs: list[str] = []
+        self.bodies: dict[str, bytes] = {}
         self.answered: list[str] = []
         self.dropped: list[str] = []
         self.heart: asyncio.Task | None = None
@@ -455,6 +458,7 @@
     async def _work(self, request: Message, writer) -> None:
         async with self.places:
             self.runs.append(request.id)
+            self.bodies[request.id] = request.body
             self.running.add(request.id)
             self.record.say(f"{self.id} runs {request.id}")
             try:
