--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -1,7 +1,6 @@
-"""A request that offers an upgrade runs without its body."""
+"""A refused HEAD request is answered with a body on a kept connection."""
 
 import asyncio
-import json
 import pathlib
 import sys
 
@@ -9,75 +8,45 @@
 
 import standins
 
-CONNECTIONS = 10
-REQUESTS = 3
-DEADLINE_MS = 1518
-# What Java's own HTTP client sends with the first request of a connection.
-OFFER = {
-    "Connection": "Upgrade, HTTP2-Settings",
-    "Upgrade": "h2c",
-    "HTTP2-Settings": "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA",
-}
+ROUNDS = 10
+INTERVAL_S = 0.1
+CRASHED_S = 4.5
 
 
 async def scenario(record, scratch, programs, trouble) -> list[str]:
     """Play the case; return how the rule was broken."""
     deployment = standins.Deployment(
-        record=record,
-        scratch=scratch,
-        programs=programs,
-        kind="non_idempotent",
+        record=record, scratch=scratch, programs=programs
     )
     await deployment.start()
-    sent: dict[str, bytes] = {}
-    unanswered: list[str] = []
-
-    async def use_connection(number: int) -> None:
-        gateways = deployment.gateways
-        client = standins.Client(gateways[number % len(gateways)])
-        for count in range(REQUESTS):
-            body = json.dumps({"desk": number, "slot": count}).encode()
-            request = await client.send(
-                "POST",
-                f"{deployment.prefix}bo77/2f",
-                host=deployment.host,
-                deadline_ms=DEADLINE_MS,
-                headers={"Content-Type": "application/json"}
-                | (OFFER if trouble and not count else {}),
-                body=body,
-            )
-            sent[request] = body
-            record.say(f"{request} is sent with the body {body!r}")
-            try:
-                async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
-                    message, status = await client.read()
-            except TimeoutError:
-                record.say(f"{request} gets no answer")
-                unanswered.append(request)
-                break
-            closes = message.headers.get("connection") == "close"
-            record.say(f"{request} gets {status}, closed after it: {closes}")
-            if closes:
-                client.close()
-            await asyncio.sleep(0.1)
-
-    async with asyncio.TaskGroup() as group:
-        for number in range(CONNECTIONS):
-            group.create_task(use_connection(number))
-    changed = []
-    for server in deployment.servers:
-        for request, body in server.bodies.items():
-            if body != sent[request]:
-                record.say(f"{server.id} ran {request} with the body {body!r}")
-                changed.append(request)
+    if trouble:
+        for server in deployment.servers:
+            await server.stop()
+        record.say("all servers of the service crash")
     broken = []
-    if changed:
-        broken.append(
-            f"UNASKED: {len(changed)} of {len(sent)} requests ran with another"
-            " body than the client's"
+    client = standins.Client(deployment.gateways[0])
+    for number in range(ROUNDS):
+        method = "HEAD" if number % 2 == 0 else "GET"
+        request = await client.send(
+            method,
+            f"{deployment.prefix}bo77/2f",
+            host=deployment.host,
+            deadline_ms=1518,
         )
-    if unanswered:
-        record.say(f"{len(unanswered)} later requests got no answer at all")
+        try:
+            async with asyncio.timeout(3.0):
+                message, status = await client.read(method)
+        except (ValueError, EOFError, TimeoutError) as error:
+            record.say(f"{method} {request}: {error!r}")
+            broken.append(f"MIXED: {method} {request} gets {error!r}")
+            break
+        record.say(f"{method} {request} gets {status}, id {message.id}")
+        if message.id and message.id != request:
+            broken.append(
+                f"MIXED: {method} {request} gets the answer to {message.id}"
+            )
+            break
+        await asyncio.sleep(INTERVAL_S)
     return broken
 
 
