Review: model servers of case 5 cut off what a load interrupts

Cause: without trouble the case broke its rule too, as the stand-in let requests run that waited when a load with switch_mode truncate began. Change: such a load cuts off what runs and turns away what waits.

--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -105,6 +105,7 @@
         self.orders = 0
         self.loading = False
         self.begun: list[tuple[str, float, int]] = []
+        self.streams: set[asyncio.StreamWriter] = set()
 
     def models(self) -> list[dict]:
         """Return the models that the server holds."""
@@ -159,23 +160,25 @@
                 return
             found = self.staged.get(int(options["item_count"]))
             self._reply(writer, 200 if found else 404, found or b"")
-        elif self.loading or not self.version:
-            writer.write(
-                standins.encode_response(
-                    503,
-                    self.head(request) | {"X-Zinniadyke-Not-Executed": "1"},
-                )
-            )
+        elif not self.may_run():
+            self._turn_away(request, writer)
         else:
             await super().answer(request, reader, writer)
 
+    def may_run(self) -> bool:
+        """Whether weights are held and stay for now."""
+        return bool(self.version) and not self.loading
+
     def _reply(self, writer, status: int, body: bytes = b"") -> None:
         writer.write(standins.encode_response(status, {}, body))
 
     async def _load(self, order: dict) -> None:
-        """Load what is staged, after the requests that run."""
+        """Load what is staged, after the requests that run, or at once."""
         staged = dict(self.staged)
         self.record.say(f"{self.id} loads version {order['version']}")
+        if order["switch_mode"] == "truncate":
+            for connection in list(self.streams):
+                connection.transport.abort()
         while self.held:
             await asyncio.sleep(0.01)
         self.version = 0
@@ -189,6 +192,14 @@
         self.record.say(f"{self.id} holds version {self.version}")
 
     async def run(self, request, writer) -> None:
+        """Run a request whose connection a load may cut off."""
+        self.streams.add(writer)
+        try:
+            await self._stream(request, writer)
+        finally:
+            self.streams.discard(writer)
+
+    async def _stream(self, request, writer) -> None:
         """Stream the events of a request."""
         await asyncio.sleep(self.admit_s)
         head = self.head(request) | {
--- a/review/standins.py
+++ b/review/standins.py
@@ -425,13 +425,7 @@
             )
             return
         if self.held >= self.slots + self.queue:
-            self.record.say(f"{self.id} is full, turns {request.id} away")
-            writer.write(
-                encode_response(
-                    503,
-                    self.head(request) | {"X-Zinniadyke-Not-Executed": "1"},
-                )
-            )
+            self._turn_away(request, writer)
             return
         self.held += 1
         # Most servers drop a request when its connection closes.
@@ -455,8 +449,20 @@
         # Callers of these tests use a connection once.
         raise ConnectionResetError
 
+    def may_run(self) -> bool:
+        """Whether a request that has waited may run now."""
+        return True
+
+    def _turn_away(self, request: Message, writer) -> None:
+        self.record.say(f"{self.id} turns {request.id} away")
+        headers = self.head(request) | {"X-Zinniadyke-Not-Executed": "1"}
+        writer.write(encode_response(503, headers))
+
     async def _work(self, request: Message, writer) -> None:
         async with self.places:
+            if not self.may_run():
+                self._turn_away(request, writer)
+                return
             self.runs.append(request.id)
             self.bodies[request.id] = request.body
             self.running.add(request.id)
