Review: scripts record what is sent and answered, and end on SIGTERM

Cause: the records of cases 3 and 5 left out what clients sent and got. Change: lines in the records; programs end with a script that is ended.

--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -211,6 +211,7 @@
         await writer.drain()
         await asyncio.sleep(self.first_event_s)
         self.begun.append((request.id, time.monotonic(), self.version))
+        self.record.say(f"{request.id} begins on version {self.version}")
         after = int(request.headers.get("last-event-id") or 0)
         for number in range(after + 1, EVENTS + 1):
             event = f"id: {number}\ndata: {request.id}\n\n".encode()
@@ -334,7 +335,7 @@
         )
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
-                await client.send(
+                request = await client.send(
                     "POST",
                     "/xapu221/2f",
                     host=HOST,
@@ -345,10 +346,13 @@
                     },
                     body=b"{}",
                 )
+                record.say(f"{request} is sent to {client.address}")
                 _, status = await client.read()
                 statuses[status] += 1
-        except (OSError, TimeoutError, EOFError):
+                record.say(f"{request} gets {status}")
+        except (OSError, TimeoutError, EOFError) as error:
             statuses[0] += 1
+            record.say(f"a client gets no whole answer: {error!r}")
         finally:
             client.close()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -732,6 +732,7 @@
                     deadline_ms=deadline_ms,
                     body=b"{}" if method == "POST" else b"",
                 )
+                self.record.say(f"{address}: {method} {request} is sent")
                 _, status = await client.read(method)
         except (OSError, TimeoutError, EOFError) as error:
             self.record.say(f"{address}: {request} gets no answer: {error!r}")
@@ -900,12 +901,15 @@
 
     async def play() -> None:
         code, lines = 2, []
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(MAX_PLAY_S):
                 broken = await scenario(record, scratch, programs, trouble)
             code = 1 if broken else 0
             lines = [f"BROKEN: {b}" for b in broken] or ["the rule held"]
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             lines = [f"the case could not run: {error!r}"]
         finally:
             for program in programs:
