Review case 5: watches are cut off for 1.8 s only, whatever heartbeats change

Cause: cuts throughout the play were more than the case needs, and it depended on what heartbeats change. Change: the store cuts off waiting watches for 1.8 s around the removal.

--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -9,24 +9,27 @@
 
 import standins
 
-# A watch that has waited this long is cut off.
-CUT_AFTER_S = 1.5
 # The service is quiet: groups of requests come at this interval, half of each
 # group at each gateway.
-GROUP_INTERVAL_S = 2.9
+GROUP_INTERVAL_S = 3.5
 GROUP_SIZE = 12
 # Groups before the server leaves; they take longer than stable_window_ms.
 CALM_GROUPS = 3
-# The server leaves this long after the last of them.
-LEAVES_AFTER_S = 0.4
+# For less than two seconds, the store cuts off each watch that waits.
+CUTS_AFTER_S = 0.1
+CUTS_FOR_S = 1.8
+# The server leaves this long after the first of them.
+LEAVES_AFTER_S = 1.0
 # It goes on for drain_ms and "a little longer", until this long after the
 # beginning of the next group.
 ENDS_AFTER_S = 0.05
 WORK_S = 0.09
+# Longest time until a watch that waits is cut off.
+POLL_S = 0.02
 
 
 class CuttingStore(standins.Store):
-    """A store that cuts off each watch that has waited for some time."""
+    """A store that cuts off the watches that wait while ``cuts`` is set."""
 
     cuts = False
 
@@ -44,13 +47,17 @@
             self.entries[name] = fields
 
     async def _watch(self, kind: str, since: int, wait_s: float):
-        if not self.cuts:
-            return await super()._watch(kind, since, wait_s)
-        answer = await super()._watch(kind, since, min(wait_s, CUT_AFTER_S))
-        if '"events":[]' in answer[1]:
-            # The connection ends without an answer.
-            raise ConnectionResetError
-        return answer
+        deadline = time.monotonic() + wait_s
+        while True:
+            left_s = max(deadline - time.monotonic(), 0.0)
+            answer = await super()._watch(kind, since, min(left_s, POLL_S))
+            if '"events":[]' not in answer[1]:
+                return answer
+            if self.cuts:
+                # The connection ends without an answer.
+                raise ConnectionResetError
+            if time.monotonic() >= deadline:
+                return answer
 
 
 class LeavingServer(standins.Server):
@@ -91,20 +98,26 @@
         programs=programs,
         kind="non_idempotent",
     )
-    deployment.store.cuts = trouble
     await deployment.start()
     _, leaves = deployment.servers
     for _ in range(CALM_GROUPS):
         await asyncio.sleep(GROUP_INTERVAL_S)
         await deployment.ask_all(GROUP_SIZE, 0.0, "POST")
     group_at = time.monotonic() + GROUP_INTERVAL_S
+    await asyncio.sleep(CUTS_AFTER_S)
+    if trouble:
+        record.say("the store begins to cut off the watches that wait")
+        deployment.store.cuts = True
     await asyncio.sleep(LEAVES_AFTER_S)
     leaves.heart.cancel()
     leaves.leaving = True
     deployment.store.remove("servers", leaves.id)
     removed_at = time.monotonic()
     record.say(f"the entry of {leaves.id} is removed; it serves on")
-    await asyncio.sleep(group_at - removed_at)
+    await asyncio.sleep(CUTS_FOR_S - LEAVES_AFTER_S)
+    deployment.store.cuts = False
+    record.say("from now on no watch is cut off")
+    await asyncio.sleep(group_at - time.monotonic())
     group = asyncio.create_task(deployment.ask_all(GROUP_SIZE, 0.0, "POST"))
     await asyncio.sleep(ENDS_AFTER_S)
     record.say(f"{leaves.id} ends while it runs {sorted(leaves.running)}")
