Review case 5: a version counts as named when a sidecar lists it

Cause: a list that is not the first one puts the time of its reading in the place of an unknown time of naming.

--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -1,10 +1,10 @@
-"""A sidecar stands still between its check of staged weights and the order."""
+"""All gateways are killed as a version is named, and start again."""
 
 import asyncio
 import hashlib
+import itertools
 import json
 import pathlib
-import signal
 import sys
 import time
 
@@ -29,20 +29,19 @@
 CHUNK_BYTES = 32768
 LAYERS = 16
 ORIGIN_MBPS = 9.9
-SIDE_MBPS = 7.6
+SIDE_MBPS = 3.8
 WARMUP_S = 0.3
-# A piece may have turned bad this long before it is taken.
-BAD_SLACK_S = 3.0
-# The machine stands still for this time.
-FROZEN_S = 4.0
-# One of 64 staged pieces turns bad this long after its begin.
-SPOILT_AFTER_S = 0.3
-SPOILT = (3,)
-# Longest time from the naming to the end of all loads.
-LOADED_S = 25.0
+VERSION_S = 8.0
+# Time from a list of versions by the sidecars to the kill of all gateways. The
+# version is named shortly after it; the platform starts the gateways again.
+KILL_AFTER_LIST_S = 7.0
+NAMED_AFTER_S = 0.1
+RESTART_S = 0.2
+REQUESTS_PER_S = 20.0
 EVENTS = 8
 DEADLINE_MS = 6093
-ASKED_AFTER = 12
+CALM_S = 4.0
+WATCHED_S = 14.0
 
 
 def piece(version: int, index: int) -> bytes:
@@ -84,24 +83,44 @@
         writer.write(standins.encode_response(200, {}, body))
 
 
+class Store(standins.Store):
+    """A store that notes when the versions are listed."""
+
+    def __init__(self, address: str) -> None:
+        """Start without objects."""
+        super().__init__(address)
+        self.listed_at = 0.0
+
+    async def answer(self, request, reader, writer) -> None:
+        """Answer a call; apply what is written to a status."""
+        path, _, query = request.target.partition("?")
+        kind = path.strip("/").split("/")[2]
+        if request.method == "GET" and kind == "versions" and not query:
+            self.listed_at = time.monotonic()
+        if request.method == "PUT" and path.endswith("/status"):
+            self._write_status(path, request)
+        await super().answer(request, reader, writer)
+
+    def _write_status(self, path: str, request) -> None:
+        *_, kind, name, _ = path.split("/")
+        wanted = json.loads(request.body)
+        stored = json.loads(self.objects[kind][name])
+        if wanted["metadata"]["revision"] != stored["metadata"]["revision"]:
+            return
+        self.revision += 1
+        stored["metadata"]["revision"] = self.revision
+        stored["status"] = wanted["status"]
+        self.objects[kind][name] = json.dumps(stored)
+        self._record(kind, False, self.objects[kind][name])
+
+
 class Engine(standins.ModelServer):
     """A model server to which weights can be given.
 
     Attributes
     ----------
-    awake
-        Set unless the machine stands still.
-    turned_bad
-        Moment at which each spoilt piece that is staged turned bad.
-    tainted
-        Pieces in the layers that it holds which were spoilt, for more than
-        ``BAD_SLACK_S``, when they were taken.
-    checked
-        Pieces of the newest version that were read back in a row.
-    half_checked
-        Set when half of the pieces of version 2 were read back.
     tokens
-        Id of each request that began to run, with the version.
+        Id of each request that began to run, with moment and version.
     """
 
     first_event_s = 0.06
@@ -112,15 +131,9 @@
         super().__init__(address, **options)
         self.version = 1
         self.staged = {n: piece(1, n) for n in range(CHUNKS)}
-        self.awake = asyncio.Event()
-        self.awake.set()
-        self.turned_bad: dict[int, float] = {}
-        self.tainted: list[int] = []
-        self.checked = 0
-        self.half_checked = asyncio.Event()
         self.orders = 0
         self.loading = False
-        self.tokens: list[tuple[str, int]] = []
+        self.tokens: list[tuple[str, float, int]] = []
         self.streams: set[asyncio.StreamWriter] = set()
 
     def models(self) -> list[dict]:
@@ -131,15 +144,8 @@
             {"name": standins.MODEL, "version": self.version, "adapters": []}
         ]
 
-    def spoil(self, index: int) -> None:
-        """Let a staged piece turn bad."""
-        self.staged[index] = bytes(CHUNK_BYTES)
-        self.turned_bad[index] = time.monotonic()
-        self.record.say(f"piece {index} at {self.id} turns bad")
-
     async def answer(self, request, reader, writer) -> None:
         """Answer a call about weights, or another one."""
-        await self.awake.wait()
         path, _, query = request.target.partition("?")
         options = dict(p.partition("=")[::2] for p in query.split("&") if p)
         if path == "/v1/report":
@@ -154,29 +160,27 @@
                 return
             self.orders += 1
             self.loading = True
-            # What is staged now is taken.
-            asyncio.create_task(self._load(order, self._find_spoilt(order)))
+            asyncio.create_task(self._load(order))
             self._reply(writer, 202)
         elif path.startswith("/v1/stage-put/"):
-            index = int(options["item_count"])
-            self.staged[index] = request.body
-            self.turned_bad.pop(index, None)
-            self.checked = 0
+            self.staged[int(options["item_count"])] = request.body
             self._reply(writer, 200)
         elif path.startswith("/v1/stage-get/"):
             if "item_count" not in options:
                 held = json.dumps({"held": sorted(self.staged)})
                 self._reply(writer, 200, held.encode())
                 return
-            index = int(options["item_count"])
-            found = self.staged.get(index)
+            found = self.staged.get(int(options["item_count"]))
             self._reply(writer, 200 if found else 404, found or b"")
-            self._note_check(index, found)
-        elif not self.version or self.loading:
+        elif not self.may_run():
             self._turn_away(request, writer)
         else:
             await super().answer(request, reader, writer)
 
+    def may_run(self) -> bool:
+        """Whether weights are held and stay for now."""
+        return bool(self.version) and not self.loading
+
     def _report(self) -> dict:
         return {
             "stage": "unified",
@@ -196,31 +200,12 @@
             "born": self.born,
         }
 
-    def _note_check(self, index: int, found: bytes | None) -> None:
-        if found == piece(2, index):
-            self.checked += 1
-            if self.checked == CHUNKS // 2:
-                self.half_checked.set()
-
-    def _find_spoilt(self, order: dict) -> list[int]:
-        """Return the pieces that are spoilt or of another version."""
-        now = time.monotonic()
-        return [
-            n
-            for n in range(CHUNKS)
-            if self.staged.get(n) != piece(order["version"], n)
-            and now - self.turned_bad.get(n, 0.0) > BAD_SLACK_S
-        ]
-
     def _reply(self, writer, status: int, body: bytes = b"") -> None:
         writer.write(standins.encode_response(status, {}, body))
 
-    async def _load(self, order: dict, spoilt: list[int]) -> None:
-        """Load what was taken, after the requests that run, or at once."""
-        self.record.say(
-            f"{self.id} takes version {order['version']};"
-            f" pieces that were bad for over {BAD_SLACK_S} s: {spoilt}"
-        )
+    async def _load(self, order: dict) -> None:
+        """Load what is staged, after the requests that run, or at once."""
+        self.record.say(f"{self.id} takes version {order['version']}")
         if order["switch_mode"] == "truncate":
             for connection in list(self.streams):
                 connection.transport.abort()
@@ -228,19 +213,38 @@
             await asyncio.sleep(0.01)
         self.version = 0
         await asyncio.sleep(WARMUP_S)
-        self.version, self.tainted = order["version"], spoilt
+        self.version = order["version"]
         self.loading = False
         self.record.say(f"{self.id} holds version {self.version}")
 
     async def run(self, request, writer) -> None:
         """Run a request whose connection a load may cut off."""
         self.streams.add(writer)
-        self.tokens.append((request.id, self.version))
         try:
-            await super().run(request, writer)
+            await self._stream(request, writer)
         finally:
             self.streams.discard(writer)
 
+    async def _stream(self, request, writer) -> None:
+        """Send the head with the first event, then the other events."""
+        count = int(request.target.split("/")[2])
+        after = int(request.headers.get("last-event-id") or 0)
+        await asyncio.sleep(self.first_event_s)
+        self.tokens.append((request.id, time.monotonic(), self.version))
+        self.record.say(f"{request.id} begins on version {self.version}")
+        head = self.head(request) | {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "X-Zinniadyke-Weight-Versions": str(self.version),
+        }
+        writer.write(standins.encode_head(200, head))
+        for number in range(after + 1, count + 1):
+            event = f"id: {number}\ndata: {request.id}.{number}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.event_s)
+        writer.write(b"0\r\n\r\n")
+
 
 def configuration(origin: str) -> dict:
     """Return a configuration with one streaming route."""
@@ -320,13 +324,13 @@
     port, ready, internal = (standins.free_port(ips) for _ in range(3))
     origin = Origin(f"{ORIGIN_IP}:{port}")
     await origin.start()
-    store = standins.Store(f"{STORE_IP}:{port}")
+    store = Store(f"{STORE_IP}:{port}")
     await store.start()
     store.put("config", "main", configuration(origin.address))
     store.put(
         "versions", standins.MODEL, {"model": standins.MODEL, "version": 1}
     )
-    engines, sidecars = [], []
+    engines = []
     for name, ip in SIDES.items():
         zone = "alex-hall-b" if "alex" in name else "cairo-hall-a"
         engine = Engine(
@@ -341,7 +345,7 @@
         )
         await engine.start()
         engines.append(engine)
-        sidecars.append(
+        programs.append(
             standins.Program(
                 name,
                 role="sidecar",
@@ -356,7 +360,6 @@
                 link_mbps=SIDE_MBPS,
             )
         )
-    programs.extend(sidecars)
     for (name, ip), zone in zip(GATEWAYS.items(), ZONES, strict=True):
         programs.append(
             standins.Program(
@@ -371,54 +374,64 @@
                 listen={"requests": f"{ip}:{port}", "ready": f"{ip}:{ready}"},
             )
         )
+    gateways = programs[len(SIDES) :]
     for program in programs:
         program.start()
     for ip in GATEWAYS.values():
         await standins.wait_ready(f"{ip}:{ready}")
-    await asyncio.sleep(4.0)
+    end = time.monotonic() + 60.0
+
+    async def send_steadily() -> None:
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if time.monotonic() > end:
+                    return
+                ip = list(GATEWAYS.values())[number % len(GATEWAYS)]
+                group.create_task(ask(f"{ip}:{port}", record))
+                await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    traffic = asyncio.create_task(send_steadily())
+    await asyncio.sleep(CALM_S)
+    # The sidecars list the versions every 10 s, at the same time.
+    listed_at = store.listed_at
+    while store.listed_at == listed_at:
+        await asyncio.sleep(0.05)
+    record.say("the sidecars list the versions")
+    await asyncio.sleep(KILL_AFTER_LIST_S)
+    if trouble:
+        for gateway in gateways:
+            gateway.end()
+        record.say("all gateways are killed")
+    await asyncio.sleep(NAMED_AFTER_S)
     store.put(
         "versions", standins.MODEL, {"model": standins.MODEL, "version": 2}
     )
     named_at = time.monotonic()
     record.say("version 2 is named and acknowledged")
+    end = named_at + WATCHED_S
+    await asyncio.sleep(RESTART_S)
     if trouble:
-        frozen, engine = sidecars[0], engines[0]
-        async with asyncio.timeout(LOADED_S):
-            await engine.half_checked.wait()
-        frozen.send(signal.SIGSTOP)
-        engine.awake.clear()
-        engine.heart.cancel()
-        record.say(f"{frozen.name} and {engine.id} stand still")
-        await asyncio.sleep(SPOILT_AFTER_S)
-        for index in SPOILT:
-            engine.spoil(index)
-        await asyncio.sleep(FROZEN_S - SPOILT_AFTER_S)
-        frozen.send(signal.SIGCONT)
-        engine.awake.set()
-        engine.heart = asyncio.create_task(engine._beat())
-        record.say(f"{frozen.name} and {engine.id} go on")
-    while any(e.version != 2 for e in engines):
-        if time.monotonic() > named_at + LOADED_S:
-            raise TimeoutError("version 2 is not loaded")
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(1.0)
-    await asyncio.gather(
-        *(
-            ask(f"{ip}:{port}", record)
-            for ip in GATEWAYS.values()
-            for _ in range(ASKED_AFTER)
-        )
-    )
-    broken = []
-    for engine in engines:
-        tokens = [r for r, version in engine.tokens if version == 2]
-        if engine.tainted and tokens:
-            broken.append(
-                f"WHOLE: {engine.id} has taken pieces {engine.tainted} of"
-                f" version 2 that had been spoilt for over {BAD_SLACK_S} s,"
-                f" and made the tokens of {len(tokens)} requests with them"
-            )
-    return broken
+        for gateway in gateways:
+            gateway.start()
+        record.say("all gateways are started")
+        for ip in GATEWAYS.values():
+            await standins.wait_ready(f"{ip}:{ready}")
+        record.say("all gateways are ready")
+    await traffic
+    late = [
+        (request, at - named_at)
+        for engine in engines
+        for request, at, version in engine.tokens
+        if version == 1 and at > named_at + VERSION_S
+    ]
+    if not late:
+        return []
+    last_s = max(after_s for _, after_s in late)
+    return [
+        f"VERSION: {len(late)} requests begin on version 1 later than"
+        f" {VERSION_S:.0f} s after version 2 was acknowledged, the last one"
+        f" {last_s:.2f} s after it"
+    ]
 
 
 if __name__ == "__main__":
