--- a/review/left/whole/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Plays the trial; exits as the cases do.
-cd "$(dirname "$0")/../../.." && exec python3 review/left/whole/scenario.py
