Log the retries that an entry grants and denies

Cause: the hypotheses of the incident differ in how many entries an entry counts, in what it grants, and in whether every repeat is granted by a budget. No line told it. Change: the budgets and the count of entries have modules of their own, unchanged in what they decide; log lines 'retries' and 'entries counted', counter retries_denied.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -419,7 +419,7 @@
         exchange.answer(503, X_Zinniadyke_Not_Executed="1")
 
     with deploy.deployment(shed, shed) as system:
-        system.gateway.forwarder.bounds = settings.BoundsSection(
+        system.gateway.forwarder.retry_budgets.bounds = settings.BoundsSection(
             retry_ratio=0.2, retry_extra=10.0
         )
         for state in system.gateway.target_table.states.values():
--- a/tests/gateway/test_interest.py
+++ b/tests/gateway/test_interest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from zinniadyke import directory
-from zinniadyke.gateway import _forward
+from zinniadyke.gateway import _entry_counter
 from zinniadyke.gateway import _interest
 from zinniadyke.gateway import _load_listener
 from zinniadyke.gateway import _target_state
@@ -146,7 +146,7 @@
         if state.target.id not in known:
             # This entry gets no reports of it.
             state.entries, state.local_entries = 1, 0
-    counted = _forward.count_entries(states, REGIONS)
+    counted = _entry_counter.count_entries(states, REGIONS)
     assert entry_count <= counted
     if target_count <= 102:
         assert counted == entry_count
--- a/tests/gateway/test_operations.py
+++ b/tests/gateway/test_operations.py
@@ -11,6 +11,8 @@
 
 from tests.gateway import deployment as deploy
 from zinniadyke import directory
+from zinniadyke.gateway import _retry_budgets
+from zinniadyke import settings
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
@@ -104,6 +106,12 @@
     )
     (line,) = [r for r in log if r["message"] == "evacuations in force"]
     known |= line.keys()
+    budgets = _retry_budgets.RetryBudgets(
+        bounds=settings.BoundsSection(), count_entries=lambda: 5
+    )
+    budgets.withdraw("desk")
+    (line,) = [r for r in log if r["message"] == "retries"]
+    known |= line.keys()
     shown = re.findall(r'^    .*?"message": ', PAGE.read_text(), re.M)
     assert len(shown) >= 3
     for block in re.findall(r"^    \{.*?\}$", PAGE.read_text(), re.M | re.S):
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -4,9 +4,7 @@
 only once is resent only after proof that it has not run.
 """
 
-import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
 import logging
@@ -20,30 +18,23 @@
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _crash_guard
-from zinniadyke.gateway import _interest
+from zinniadyke.gateway import _entry_counter
 from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _placement
 from zinniadyke.gateway import _rescope
 from zinniadyke.gateway import _response_relay
+from zinniadyke.gateway import _retry_budgets
 from zinniadyke.gateway import _target_state
 from zinniadyke.gateway import _target_table
 from zinniadyke.gateway import _token_borrower
 from zinniadyke import ids
 from zinniadyke import reports
-from zinniadyke import requests
 from zinniadyke import settings
 from zinniadyke import telemetry
 from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
-# Part of the configured retry budget that is used.
-RETRY_BUDGET_SHARE = 0.9
-# The retry budget is divided by at least this many entries, also while fewer
-# are known.
-MIN_ENTRIES = 5
-# Interval between counts of the entries.
-ENTRIES_COUNT_INTERVAL_S = 0.5
 # Targets tried for one request while none accepts a connection.
 MAX_PLACEMENTS = 4
 # Refusals that no target within the call's scope could have prevented.
@@ -82,20 +73,22 @@
         memory: _memory_budget.ProcessMemory,
     ) -> None:
         """Admit waiting requests whenever the directory changes."""
-        self.bounds = bounds
         self.memory = memory
         self.view = view
         self.target_table = target_table
         self.zone_penalty = zone_penalty
         self.crash_guard = crash_guard
         self.regions = regions
-        self.entry_count = MIN_ENTRIES
-        self.entries_counted_at = float("-inf")
         self.admissions: dict[ids.ServiceName, _admission.Admission] = {}
-        self.budgets: dict[ids.ServiceName, requests.RetryBudget] = {}
+        self.entry_counter = _entry_counter.EntryCounter(
+            states=target_table.states, regions=regions
+        )
+        self.retry_budgets = _retry_budgets.RetryBudgets(
+            bounds=bounds, count_entries=self.entry_counter.count
+        )
         self.token_borrower = _token_borrower.TokenBorrower(
             target_table=target_table,
-            count_entries=self._entry_count,
+            count_entries=self.entry_counter.count,
             on_answer=self._reconsider_waiting,
         )
         self.wait_up_to_date: Callable[[], None] = lambda: None
@@ -173,7 +166,7 @@
         """
         self.crash_guard.ledger.check(call.suspects)
         admission = self._admission(call.service)
-        self._budget(call.service).deposit()
+        self.retry_budgets.deposit(call.service)
         relay = _response_relay.ResponseRelay(call=call, caller=caller)
         relay.can_resume = self._can_resume
         first = attempt = None
@@ -367,15 +360,12 @@
         if not attempt.sent:
             # Nothing was sent, so this does not count as an attempt.
             return len(call.tried) < MAX_PLACEMENTS
-        allowed = self._budget(call.service).withdraw()
-        if allowed:
-            telemetry.count(telemetry.Metric.ATTEMPTS_REPEATED)
-        return allowed
+        return self.retry_budgets.withdraw(call.service)
 
     def _can_resume(self, call: _call.Call) -> bool:
         """Whether the budget and the targets allow another attempt."""
         _rescope.rescope(call, self.view.configuration)
-        return self._budget(call.service).balance >= 1 and any(
+        return self.retry_budgets.allows(call.service) and any(
             state.within_limit
             for state in self.target_table.candidates(call.scope, call.tried)
         )
@@ -390,59 +380,6 @@
             )
         return self.admissions[service]
 
-    def _budget(self, service: ids.ServiceName) -> requests.RetryBudget:
-        if service not in self.budgets:
-            self.budgets[service] = requests.RetryBudget(
-                ratio=self.bounds.retry_ratio * RETRY_BUDGET_SHARE
-            )
-        budget = self.budgets[service]
-        budget.set_max_balance(
-            self.bounds.retry_extra * RETRY_BUDGET_SHARE / self._entry_count()
-        )
-        return budget
-
-    def _entry_count(self) -> int:
-        """Return how many entries share the budget, as agents report."""
-        now = time.monotonic()
-        if now > self.entries_counted_at + ENTRIES_COUNT_INTERVAL_S:
-            self.entries_counted_at = now
-            self.entry_count = max(
-                MIN_ENTRIES,
-                count_entries(self.target_table.states.values(), self.regions),
-            )
-        return self.entry_count
-
-
-def count_entries(
-    states: Iterable[_target_state.TargetState], regions: Mapping[str, str]
-) -> int:
-    """Return the number of entries in all regions, as agents report.
-
-    Entries use all targets of their region, or the same number of them, so
-    a target's local entries tell how many its region has. Load: the retry
-    budget is shared by all entries, though each knows a part of the targets.
-    """
-    most_entries = 0
-    local_entries: dict[str, int] = {}
-    target_counts: collections.Counter[str] = collections.Counter()
-    for state in states:
-        region = regions.get(state.target.zone, "")
-        most_entries = max(most_entries, state.entries)
-        target_counts[region, state.target.service] += 1
-        local_entries[region] = max(
-            local_entries.get(region, 0), state.local_entries
-        )
-    total = 0
-    for region, count in local_entries.items():
-        targets = max(
-            n for (name, _), n in target_counts.items() if name == region
-        )
-        # In a region of more targets each sees a part of its entries.
-        total += math.ceil(
-            count * max(1.0, targets / _interest.MAX_OWN_TARGETS)
-        )
-    return max(total, most_entries)
-
 
 def _ms_since(moment: float) -> int:
     return math.ceil((time.monotonic() - moment) * 1000)
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -15,6 +15,8 @@
     REQUESTS = "requests"
     REQUEST_TIME = "request_time"
     ATTEMPTS_REPEATED = "attempts_repeated"
+    # Retries that the budget of all entries did not allow.
+    RETRIES_DENIED = "retries_denied"
     CHUNKS_ORIGIN_BYTES = "chunks.origin_bytes"
     CHUNKS_PEER_BYTES = "chunks.peer_bytes"
     CHUNKS_CORRUPT = "chunks.corrupt"
