Restarted entries no longer renew the retry budget

Callers: beside many failing targets, entries that were killed and started again sent more repeats to a service than operators allow (693 of 649 in 10 s), load that delays others. Cause: the budget of all entries is split into a stock for each, and every start of a process brought a new one: ten retries, or up to a fifth of the budget until it had counted the entries. The class: an allowance that several processes share, renewed by the start of one. Then no window can hold more than the stock of each entry and what its requests earn, however often it starts: a refill lies a window after the last retry of this process and of the one before it. Tests that need retries at once set the window to 0. The own interface keeps its stock at the start, as no bound over all entries is set there.

--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -20,7 +20,7 @@
     acquired = []
     pool = types.SimpleNamespace(
         crash_guard=guard,
-        retry_budget=requests.RetryBudget(),
+        retry_budget=requests.RetryBudget(unused_since=float("-inf")),
         acquire=lambda call, excluded: acquired.append(call) or (link, "m/1"),
         release=lambda link: None,
     )
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -129,7 +129,9 @@
                     requests=f"127.0.0.1:{free_port()}",
                     ready=f"127.0.0.1:{free_port()}",
                 ),
-                bounds=settings.BoundsSection(retry_extra=100.0, **bounds),
+                bounds=settings.BoundsSection(
+                    retry_extra=100.0, retry_window_s=0.0, **bounds
+                ),
             )
         )
 
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -277,7 +277,7 @@
                     ready=f"{ip}:{self.ready_port}",
                 ),
                 bounds=settings.BoundsSection(
-                    retry_extra=1000.0, **self.bounds
+                    retry_extra=1000.0, retry_window_s=0.0, **self.bounds
                 ),
             )
         )
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -8,6 +8,7 @@
 from zinniadyke import errors
 from zinniadyke import objects
 from zinniadyke import requests
+from zinniadyke.requests import _retry_budget
 from zinniadyke.requests import _workspace_limiter
 
 
@@ -123,15 +124,28 @@
 
 
 def test_retry_budget_is_limited():
-    budget = requests.RetryBudget()
-    while budget.withdraw():
-        continue
+    budget = requests.RetryBudget(unused_since=float("-inf"))
+    assert sum(budget.withdraw() for _ in range(100)) == 10
     for _ in range(11):
         budget.deposit()
     assert budget.withdraw()
     assert not budget.withdraw()
 
 
+def test_retry_budget_has_its_stock_again_after_a_window_without_retries(
+    clock, monkeypatch
+):
+    monkeypatch.setattr(_retry_budget, "time", clock)
+    budget = requests.RetryBudget(stock=3.0, window_s=10.0)
+    assert not budget.withdraw()
+    clock.now += 10.0
+    assert sum(budget.withdraw() for _ in range(9)) == 3
+    clock.now += 9.9
+    assert not budget.withdraw()
+    clock.now += 0.1
+    assert sum(budget.withdraw() for _ in range(9)) == 3
+
+
 def test_only_the_token_matches_its_hash():
     token = requests.new_token("hafez")
     stored = requests.hash_token(token)
--- a/zinniadyke/entry/_target_pool.py
+++ b/zinniadyke/entry/_target_pool.py
@@ -44,7 +44,9 @@
         self.links: dict[ids.HostName, _target_link.TargetLink] = {}
         self.draining_links: list[_target_link.TargetLink] = []
         self.queue = requests.FairQueue()
-        self.retry_budget = requests.RetryBudget()
+        # Operators set no bound on the retries of all entries here, so a new
+        # process need not start without any.
+        self.retry_budget = requests.RetryBudget(unused_since=float("-inf"))
         self.random = random.Random()
 
     def refresh(self) -> None:
--- a/zinniadyke/gateway/_retry_budgets.py
+++ b/zinniadyke/gateway/_retry_budgets.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import time
 
 from zinniadyke import ids
@@ -45,6 +46,7 @@
         """Start without services."""
         self.bounds = bounds
         self.count_entries = count_entries
+        self.started_at = time.monotonic()
         self.budgets: dict[ids.ServiceName, requests.RetryBudget] = {}
         self.counts: dict[ids.ServiceName, _Counts] = {}
 
@@ -54,7 +56,7 @@
 
     def allows(self, service: ids.ServiceName) -> bool:
         """Whether a retry would be granted now."""
-        return self._budget(service).balance >= 1
+        return self._budget(service).allows()
 
     def withdraw(self, service: ids.ServiceName) -> bool:
         """Take one retry; return False if none is left."""
@@ -90,7 +92,10 @@
     def _budget(self, service: ids.ServiceName) -> requests.RetryBudget:
         if service not in self.budgets:
             self.budgets[service] = requests.RetryBudget(
-                ratio=self.bounds.retry_ratio * RETRY_BUDGET_SHARE
+                ratio=self.bounds.retry_ratio * RETRY_BUDGET_SHARE,
+                stock=math.inf,
+                window_s=self.bounds.retry_window_s,
+                unused_since=self.started_at,
             )
         budget = self.budgets[service]
         budget.set_max_balance(
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -77,10 +77,10 @@
         again, in milliseconds.
     grace_s
         Time from SIGTERM to SIGKILL, in seconds.
-    retry_ratio, retry_extra
-        Retry budget of all entries together, per time window that the
-        operators set: ``retry_ratio`` times the requests of the service,
-        plus ``retry_extra``.
+    retry_ratio, retry_extra, retry_window_s
+        Retry budget of all entries together, in any ``retry_window_s``
+        seconds: ``retry_ratio`` times the requests of the service, plus
+        ``retry_extra``.
     evacuate_ms
         Time after a zone's evacuation until no request may reach its
         targets, in milliseconds; 0 if zones are not evacuated.
@@ -96,6 +96,7 @@
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_extra: float = 0.0
+    retry_window_s: float = 10.0
     evacuate_ms: float = 0.0
     cold_overage: float = 0.0
     cold_slack: float = 0.0
