An unreadable entry of another writer hides no other one

Cause: a list was decoded as a whole; deep nesting raises RecursionError, which nothing caught. The class: bytes from outside that one reader can't stand. Change: where a list or change cannot be decoded, its objects are split by brackets and strings without recursion, and each is decoded by itself; spec or status that cannot be read is null, so that the kind's decoder rejects it with its name in the log, and an entry that became unreadable is not used any more. What decoding raises has one name (decoding.UNREADABLE), used for messages of peers, targets and manifests too.

--- a/zinniadyke/control/_head.py
+++ b/zinniadyke/control/_head.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke import platform
@@ -87,7 +88,7 @@
     """
     try:
         return msgspec.json.decode(value, type=Head)
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         raise errors.PlatformError(
             f"{HEAD_KEY} is not a head manifest: {error}"
         )
--- a/zinniadyke/control/_store.py
+++ b/zinniadyke/control/_store.py
@@ -5,9 +5,9 @@
 
 import eventlet
 from eventlet import event
-import msgspec
 
 from zinniadyke.control import _accept
+from zinniadyke import decoding
 from zinniadyke import objects
 from zinniadyke import peers
 from zinniadyke import telemetry
@@ -66,7 +66,7 @@
         documents.update(delta.changed)
         try:
             configuration = self._decode(delta, documents)
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        except (KeyError, *decoding.UNREADABLE) as error:
             LOG.error(
                 "configuration delta rejected", extra={"error": str(error)}
             )
--- a/zinniadyke/engine/_client.py
+++ b/zinniadyke/engine/_client.py
@@ -10,6 +10,7 @@
 import msgspec
 import urllib3
 
+from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke import ids
 
@@ -81,7 +82,7 @@
                     f"engine state: HTTP status {answer.status}, expected 200"
                 )
             return msgspec.json.decode(answer.data, type=EngineState)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except (urllib3.exceptions.HTTPError, *decoding.UNREADABLE) as error:
             raise errors.EngineError(f"cannot read the engine state: {error}")
 
     def load(
--- a/zinniadyke/entry/_read_request.py
+++ b/zinniadyke/entry/_read_request.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke.entry import _auth
 from zinniadyke.entry import _caller_request
 from zinniadyke.entry import _routing
@@ -182,7 +183,7 @@
 def _model_body(body: bytes, path: str) -> ModelBody:
     try:
         parsed = msgspec.json.decode(body, type=ModelBody)
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         raise _bad_request(f"body: {error}")
     chat = path.endswith("/chat/completions")
     if chat and not parsed.messages:
--- a/zinniadyke/peers/_connection.py
+++ b/zinniadyke/peers/_connection.py
@@ -7,8 +7,8 @@
 import eventlet
 from eventlet.green import zmq
 from eventlet import queue
-import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke.peers import _codec
 from zinniadyke.peers import _message
@@ -180,7 +180,7 @@
             try:
                 number = CALL_ID.unpack(frames[0])[0]
                 message = _codec.decode(frames[1])
-            except (struct.error, IndexError, msgspec.MsgspecError):
+            except (struct.error, IndexError, *decoding.UNREADABLE):
                 continue
             call = self.open_calls.get(number)
             if call is not None:
--- a/zinniadyke/peers/_server.py
+++ b/zinniadyke/peers/_server.py
@@ -5,8 +5,8 @@
 
 import eventlet
 from eventlet.green import zmq
-import msgspec
 
+from zinniadyke import decoding
 from zinniadyke.peers import _codec
 from zinniadyke.peers import _message
 
@@ -114,7 +114,7 @@
             frames = self.socket.recv_multipart()
             try:
                 inbound = self._parse(frames)
-            except (IndexError, msgspec.MsgspecError) as error:
+            except (IndexError, *decoding.UNREADABLE) as error:
                 LOG.warning(
                     "message dropped: cannot decode",
                     extra={"error": str(error)},
--- a/zinniadyke/platform/_cold_time.py
+++ b/zinniadyke/platform/_cold_time.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import ids
 from zinniadyke.platform import _number_header
 from zinniadyke.platform import headers
@@ -47,7 +48,7 @@
         return None
     try:
         milliseconds = msgspec.json.decode(value, type=float)
-    except msgspec.MsgspecError:
+    except decoding.UNREADABLE:
         milliseconds = math.nan
     if not 0 <= milliseconds < math.inf:
         _log_unusable(target, value[:MAX_LOGGED_CHARS])
--- a/zinniadyke/platform/_decode_configuration.py
+++ b/zinniadyke/platform/_decode_configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import directory
 from zinniadyke import ids
 from zinniadyke.platform import _store
@@ -110,7 +111,7 @@
     """
     try:
         decoded = msgspec.json.decode(stored.spec, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         raise ValueError(str(error))
     return directory.ServingConfiguration(
         version=ids.ConfigurationVersion(decoded.version),
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import directory
 from zinniadyke import ids
 from zinniadyke.platform import _cold_time
@@ -63,7 +64,7 @@
     """
     try:
         decoded = msgspec.json.decode(stored.spec, type=_Registration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         raise ValueError(str(error))
     if decoded.state not in STATES:
         raise ValueError(
@@ -124,7 +125,7 @@
     """
     try:
         decoded = msgspec.json.decode(stored.spec, type=_DesiredWeights)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         raise ValueError(str(error))
     return directory.DesiredWeights(
         model=ids.ModelName(decoded.model),
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import directory
 from zinniadyke import ids
 from zinniadyke.platform import _decode_configuration
@@ -173,7 +174,7 @@
     """Whether a spec is a JSON object, as an evacuation's should be."""
     try:
         return isinstance(msgspec.json.decode(raw), dict)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.UNREADABLE:
         return False
 
 
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -9,7 +9,9 @@
 import urllib3
 
 from zinniadyke import bounded_http
+from zinniadyke import decoding
 from zinniadyke import errors
+from zinniadyke.platform import _json_text
 from zinniadyke.platform import _revision
 from zinniadyke import telemetry
 
@@ -107,14 +109,6 @@
     has_more: bool = False
 
 
-class _ItemName(msgspec.Struct):
-    name: str
-
-
-class _NamedItem(msgspec.Struct):
-    metadata: _ItemName
-
-
 class _WatchAnswer(msgspec.Struct):
     events: list[msgspec.Raw]
     current_rev: int
@@ -213,7 +207,7 @@
         )
 
     def list_objects(self, kind: str, *, stale: bool = False) -> ObjectList:
-        """Return all objects of a kind; skip unreadable ones.
+        """Return all objects of a kind; skip those without a readable name.
 
         Parameters
         ----------
@@ -234,7 +228,7 @@
         while True:
             query = f"?{parse.urlencode(options)}" if options else ""
             data = self._call("GET", _path(kind) + query).data
-            answer = decode(data, _ListAnswer, "list")
+            answer = _decode_answer(data, _ListAnswer, "items")
             # A watch from the revision of the first page also returns the
             # changes made between two pages.
             if first_revision is None:
@@ -242,9 +236,10 @@
                     self.era, answer.current_rev
                 )
             self._check_era(first_revision)
-            page = [_decode_item(raw, StoreObject) for raw in answer.items]
-            listed_objects.extend(o for o in page if o is not None)
-            last = _last_name(answer.items)
+            page = [_decode_object(raw) for raw in answer.items]
+            readable = [stored for stored in page if stored is not None]
+            listed_objects.extend(readable)
+            last = readable[-1].metadata.name if readable else ""
             if not answer.has_more or last <= after:
                 return ObjectList(
                     objects=listed_objects, revision=first_revision
@@ -273,14 +268,10 @@
             timeout_s=wait_s + WATCH_EXTRA_TIMEOUT_S,
         ).data
         self._check_era(revision)
-        answer = decode(data, _WatchAnswer, "changes")
-        events = [_decode_item(raw, _Event) for raw in answer.events]
+        answer = _decode_answer(data, _WatchAnswer, "events")
+        events = [_decode_event(raw) for raw in answer.events]
         return ChangeList(
-            changes=[
-                ObjectChange(object=e.object, removed=e.removed)
-                for e in events
-                if e is not None
-            ],
+            changes=[event for event in events if event is not None],
             revision=_revision.Revision(self.era, answer.current_rev),
         )
 
@@ -404,16 +395,6 @@
     return path if name is None else f"{path}/{parse.quote(name, safe='')}"
 
 
-def _last_name(items: list[msgspec.Raw]) -> str:
-    """Return the name of a page's last object; empty if none is readable."""
-    for raw in reversed(items):
-        try:
-            return msgspec.json.decode(raw, type=_NamedItem).metadata.name
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            continue
-    return ""
-
-
 def decode(data: bytes | msgspec.Raw, wanted, description: str):
     """Decode an answer; on failure replace invalid UTF-8 and try again.
 
@@ -424,19 +405,93 @@
     """
     try:
         return msgspec.json.decode(data, type=wanted)
-    except msgspec.MsgspecError:
+    except decoding.UNREADABLE:
         readable = bytes(data).decode("utf-8", "replace").encode()
     try:
         return msgspec.json.decode(readable, type=wanted)
-    except msgspec.MsgspecError as error:
+    except decoding.UNREADABLE as error:
         raise errors.PlatformError(
             f"unreadable {description} in the store's answer: {error}"
         )
 
 
-def _decode_item(raw: msgspec.Raw, wanted):
+def _decode_answer(data: bytes, wanted, array: str):
+    """Decode an answer with an array of objects, none of which it decodes.
+
+    Raises
+    ------
+    PlatformError
+        What surrounds the objects is unreadable.
+    """
+    try:
+        return msgspec.json.decode(data, type=wanted)
+    except decoding.UNREADABLE:
+        # One object that another writer left can cause this.
+        pass
     try:
-        return msgspec.json.decode(raw, type=wanted)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        LOG.warning("unreadable object skipped", extra={"reason": str(error)})
+        members = _json_text.split_members(data)
+        elements = _json_text.split_elements(members.get(array, b""))
+        members[array] = b"[]"
+        answer = msgspec.json.decode(
+            _json_text.join_members(members), type=wanted
+        )
+    except decoding.UNREADABLE as error:
+        raise errors.PlatformError(
+            f"unreadable {array} in the store's answer: {error}"
+        )
+    setattr(answer, array, [msgspec.Raw(element) for element in elements])
+    return answer
+
+
+def _decode_object(raw: msgspec.Raw) -> StoreObject | None:
+    """Return an object; its spec or status is null if it is unreadable."""
+    try:
+        return msgspec.json.decode(raw, type=StoreObject)
+    except decoding.UNREADABLE as error:
+        reason = str(error)
+    try:
+        members = _json_text.split_members(bytes(raw))
+        metadata = msgspec.json.decode(
+            members.get("metadata", b""), type=ObjectMetadata
+        )
+    except decoding.UNREADABLE:
+        LOG.warning("unreadable object skipped", extra={"reason": reason})
+        return None
+    LOG.warning(
+        "object unreadable in part",
+        extra={"object": metadata.name, "reason": reason},
+    )
+    return StoreObject(
+        metadata=metadata,
+        spec=_readable_or_null(members.get("spec", b"")),
+        status=_readable_or_null(members.get("status", b"")),
+    )
+
+
+def _readable_or_null(text: bytes) -> msgspec.Raw:
+    try:
+        msgspec.json.decode(text)
+    except decoding.UNREADABLE:
+        return msgspec.Raw(b"null")
+    return msgspec.Raw(text)
+
+
+def _decode_event(raw: msgspec.Raw) -> ObjectChange | None:
+    """Return a change; None if it does not say of which object."""
+    try:
+        event = msgspec.json.decode(raw, type=_Event)
+        return ObjectChange(object=event.object, removed=event.removed)
+    except decoding.UNREADABLE as error:
+        reason = str(error)
+    try:
+        members = _json_text.split_members(bytes(raw))
+        removed = msgspec.json.decode(
+            members.get("removed", b"false"), type=bool
+        )
+        stored = _decode_object(msgspec.Raw(members.get("object", b"")))
+    except decoding.UNREADABLE:
+        LOG.warning("unreadable change skipped", extra={"reason": reason})
+        return None
+    if stored is None:
         return None
+    return ObjectChange(object=stored, removed=removed)
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from zinniadyke import bounded_http
+from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.platform import _cold_time
@@ -166,7 +167,7 @@
         answer = self._call("GET", "/v1/report", pool=self.report_pool)
         try:
             decoded = msgspec.json.decode(answer.data, type=_Report)
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             raise errors.EngineError(f"unreadable report: {error}")
         if answer.headers.get(header_names.LEAVING) == "1":
             self.leaving_born_ms = decoded.born
@@ -215,7 +216,7 @@
         try:
             answer = self._call("GET", f"/v1/stage-get/{model}")
             return set(msgspec.json.decode(answer.data, type=_Held).held)
-        except (errors.EngineError, msgspec.MsgspecError) as error:
+        except (errors.EngineError, *decoding.UNREADABLE) as error:
             raise errors.EngineError(
                 f"reading the staged pieces failed: {error}"
             )
@@ -376,7 +377,7 @@
         data = self._get(f"/v1/manifest/{model}?version={version}")
         try:
             decoded = msgspec.json.decode(data, type=_Manifest)
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             raise errors.WeightsError(
                 f"unreadable manifest: {error}",
                 code=errors.ResultCode.ORIGIN_UNAVAILABLE,
--- a/zinniadyke/platform/_version_record.py
+++ b/zinniadyke/platform/_version_record.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke import ids
 from zinniadyke.platform import _store
@@ -45,7 +46,7 @@
         return None
     try:
         status = msgspec.json.decode(stored.status, type=_VersionStatus)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         return _ignore(stored, reason=str(error))
     if status.version < version:
         # The operator's write keeps the status of the version before.
--- a/zinniadyke/reports/_messages.py
+++ b/zinniadyke/reports/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import ids
 
 VersionAgesMs = dict[str, dict[int, int | None]]
@@ -318,5 +319,5 @@
     """
     try:
         return _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.UNREADABLE as error:
         raise ValueError(str(error))
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from zinniadyke import bounded_http
+from zinniadyke import decoding
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pieces
 
@@ -61,7 +62,7 @@
             return None
         try:
             return msgspec.json.decode(data, type=tuple[str, ...])
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             LOG.warning(
                 "cannot decode digests from peer",
                 extra={"host": host_ip, "reason": str(error)},
--- a/zinniadyke/weights/_manifest.py
+++ b/zinniadyke/weights/_manifest.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from zinniadyke import decoding
 from zinniadyke import errors
 
 MANIFEST_INDEX = -1
@@ -51,7 +52,7 @@
         """
         try:
             manifest = msgspec.json.decode(data, type=cls)
-        except msgspec.MsgspecError as error:
+        except decoding.UNREADABLE as error:
             raise errors.WeightsError(
                 f"cannot decode the manifest: {error}",
                 code=errors.ResultCode.CHUNK_CORRUPT,
