A registration with odd or missing values names no target

Cause: half of the fields had defaults, numbers no bounds, and an address was checked for a colon and digits only. The class: values from outside that are used before they are checked. Change: slots, software version and number of changes are required, counts lie between 0 and 2^53, and an address is an IPv4 number with a port from 1 to 65535. Registrations in tests have the fields that the platform's have; one test used port 0.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -149,6 +149,7 @@
             "address": target.address,
             "zone": "z1",
             "slots": 4,
+            "version": "v1",
             "state": "ready",
             "seq": 1,
             **overrides,
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -87,7 +87,9 @@
             "address": self.address,
             "zone": "z1",
             "slots": self.slots,
+            "version": "v1",
             "state": "ready",
+            "seq": 1,
             "born": self.born_ms,
         }
         if self.service == MODELS:
--- a/tests/gateway/test_frozen_entry.py
+++ b/tests/gateway/test_frozen_entry.py
@@ -55,7 +55,9 @@
         "address": made.address,
         "zone": "z1",
         "slots": 4,
+        "version": "v1",
         "state": "ready",
+        "seq": 1,
     }
     store.put("config", "main", deploy.configuration())
     store.put("servers", "t1", spec)
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -184,6 +184,7 @@
             "address": f"{host}:{port}",
             "zone": "z1",
             "slots": 4,
+            "version": "v1",
             "state": "ready",
             "seq": 1,
         },
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -43,6 +43,7 @@
         "address": f"10.0.0.{name[1:]}:80",
         "zone": "z1",
         "state": "ready",
+        "version": "v1",
         "slots": 4,
         "seq": 1,
         "born": 1000,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -29,7 +29,10 @@
         "service": '"s"',
         "address": '"1.2.3.4:5"',
         "zone": '"z"',
+        "version": '"v1"',
+        "slots": "4",
         "state": '"ready"',
+        "seq": "1",
         **more,
     }
     inner = ", ".join(f'"{n}": {v}' for n, v in fields.items())
@@ -157,9 +160,12 @@
         for number in range(30):
             spec = {
                 "service": "s",
-                "address": f"1.2.3.4:{number}",
+                "address": f"1.2.3.4:{8000 + number}",
                 "zone": "z",
+                "version": "v1",
+                "slots": 4,
                 "state": "ready",
+                "seq": 1,
             }
             store.put("servers", f"t{number}", spec)
             eventlet.sleep(0.01)
--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -78,7 +78,9 @@
                 "address": server.address,
                 "zone": "z1",
                 "slots": 4,
+                "version": "v1",
                 "state": "ready",
+                "seq": 1,
                 "models": models,
             },
         )
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -1,5 +1,9 @@
 """Decodes registrations of targets and desired versions of weights."""
 
+import ipaddress
+import re
+import typing
+
 import msgspec
 
 from zinniadyke import decoding
@@ -8,30 +12,38 @@
 from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _store
 
+MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}")
+# Fits into 64 bits with room to calculate.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+
 
 class HeldModel(msgspec.Struct):
     """A model that a target holds, as encoded by the target."""
 
     name: str
-    version: int = 0
+    version: Count = 0
 
 
 class HeldLayers(msgspec.Struct, rename={"start": "from"}):
     """Range of layers that a target holds; `target` is its exclusive end."""
 
-    start: int
-    target: int
-    version: int
+    start: Count
+    target: Count
+    version: Count
 
 
 class _Registration(msgspec.Struct):
-    # The encoded `version` is that of the target's software and not decoded.
     service: str
     address: str
     zone: str
     state: str
-    slots: int = 0
-    born: int = 0
+    slots: Count
+    # Version of the target's software, and number of changes of what it
+    # holds. Neither is used, but without them another writer left the entry.
+    version: str
+    seq: Count
+    born: Count = 0
     models: list[HeldModel] = []
     layers: HeldLayers | None = None
     # Of any type, as an unusable time does not invalidate the registration.
@@ -40,7 +52,7 @@
 
 class _DesiredWeights(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 LEAVING_STATE = "draining"
@@ -70,9 +82,7 @@
         raise ValueError(
             f"state {decoded.state!r} is neither ready nor draining"
         )
-    host, _, port = decoded.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address {decoded.address!r} is not host:port")
+    _check_address(decoded.address)
     return directory.Target(
         id=ids.TargetId(stored.metadata.name),
         service=ids.ServiceName(decoded.service),
@@ -91,6 +101,14 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError unless an address is an IPv4 number and a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"no port in the address {address!r}")
+
+
 def complete_versions(
     models: list[HeldModel],
     held: HeldLayers | None,
