An entry of an unknown service outdates no target

Cause: a later start at an address counted whatever service it named. Change: only registrations of services that the configuration names count.

--- a/tests/gateway/test_target_table.py
+++ b/tests/gateway/test_target_table.py
@@ -42,12 +42,14 @@
 
 
 def table_of(*targets, services=None):
+    if services is None:
+        services = {"s": directory.Service(name="s", max_connections=9)}
     view = directory.View()
     view.set_configuration(
         directory.ServingConfiguration(
             version=1,
             routes={},
-            services=services or {},
+            services=services,
             limits=directory.CallerLimits(),
             workspaces=None,
         )
@@ -59,6 +61,13 @@
     return target_table, view
 
 
+def test_start_of_an_unknown_service_outdates_no_target():
+    sound = target("t1", "a:1", 1000)
+    other = target("t2", "a:1", 2000, service="unheard")
+    target_table, _ = table_of(sound, other)
+    assert names(target_table) == {"t1"}
+
+
 def scope(*regions):
     return _scope.Scope(
         service="s", allowed_regions=frozenset(regions) or None
--- a/zinniadyke/gateway/_target_table.py
+++ b/zinniadyke/gateway/_target_table.py
@@ -112,7 +112,10 @@
         self.cold_limits = {n: c for n, c in limits.items() if c is not None}
         for name in self.states.keys() - targets.keys():
             self._remember_unlisted(self.states.pop(name))
-        latest_start_ms = _latest_starts_ms(targets.values())
+        # An entry of an unknown service outdates no target.
+        latest_start_ms = _latest_starts_ms(
+            t for t in targets.values() if t.service in services
+        )
         for name, target in targets.items():
             state = known = self.states.get(name)
             if state is None or (
@@ -125,7 +128,7 @@
             state.set_cold_limit(self.cold_limits.get(target.service))
             self._record_cold(state, known, target)
             state.outdated = (
-                0 < target.born_ms < latest_start_ms[target.address]
+                0 < target.born_ms < latest_start_ms.get(target.address, 0)
             )
             state.evacuated = target.zone in evacuated
             state.excluded = target.leaving or state.evacuated
