Agents that start do not lower the count of entries

An agent that starts knows few entries; when all agents that an entry hears of start within a second, its count falls to five, and its part of the retry budget, and of a limit without an agent, rises up to threefold. Change: a lower count is believed after 10 s, the window of the budget.

--- a/tests/gateway/test_interest.py
+++ b/tests/gateway/test_interest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests import clock
 from zinniadyke import directory
 from zinniadyke.gateway import _entry_counter
 from zinniadyke.gateway import _interest
@@ -152,6 +153,25 @@
         assert counted == entry_count
 
 
+def test_restarted_agents_do_not_lower_the_count_of_entries(monkeypatch):
+    """An agent that starts learns of its entries one after the other."""
+    manual_clock = clock.Clock()
+    monkeypatch.setattr(_entry_counter, "time", manual_clock)
+    state = _target_state.TargetState(target=make_target(0, 3))
+    counter = _entry_counter.EntryCounter(states={"t0": state}, regions={})
+    counts = []
+    for known in (14, 1, 6, 14):
+        state.entries = known
+        manual_clock.now += 1.0
+        counts.append(counter.count())
+    assert counts == [14, 14, 14, 14]
+    state.entries = 6
+    for _ in range(12):
+        manual_clock.now += 1.0
+        last = counter.count()
+    assert last == 6
+
+
 def test_datagrams_do_not_grow_with_the_fleet():
     """With as many versions named as a process remembers."""
     named = {"m" * 20: {10**9 + n: 10**6 for n in range(16)}}
--- a/zinniadyke/gateway/_entry_counter.py
+++ b/zinniadyke/gateway/_entry_counter.py
@@ -16,6 +16,9 @@
 # A limit is divided by at least this many entries, also while fewer are known.
 MIN_ENTRIES = 5
 COUNT_INTERVAL_S = 0.5
+# Time for which a lower count is not believed: agents that have just started
+# know few entries, and entries that ended may have used their share.
+HOLD_S = 10.0
 
 
 class EntryCounter:
@@ -40,24 +43,34 @@
         self.regions = regions
         self.entries = MIN_ENTRIES
         self.counted_at = float("-inf")
+        # Largest count that was lower, and the time of the last that was not.
+        self.lower = MIN_ENTRIES
+        self.confirmed_at = float("-inf")
 
     def count(self) -> int:
         """Return how many entries share a limit."""
         now = time.monotonic()
         if now > self.counted_at + COUNT_INTERVAL_S:
             self.counted_at = now
-            counted = max(
-                MIN_ENTRIES,
-                count_entries(self.states.values(), self.regions),
-            )
-            if counted != self.entries:
-                LOG.info(
-                    "entries counted",
-                    extra={"entries": counted, "before": self.entries},
-                )
-            self.entries = counted
+            counted = count_entries(self.states.values(), self.regions)
+            self._record(max(MIN_ENTRIES, counted), now)
         return self.entries
 
+    def _record(self, counted: int, now: float) -> None:
+        if counted < self.entries:
+            self.lower = max(self.lower, counted)
+            if now < self.confirmed_at + HOLD_S:
+                return
+            counted = self.lower
+        if counted != self.entries:
+            LOG.info(
+                "entries counted",
+                extra={"entries": counted, "before": self.entries},
+            )
+        self.entries = counted
+        self.lower = MIN_ENTRIES
+        self.confirmed_at = now
+
 
 def count_entries(
     states: Iterable[_target_state.TargetState], regions: Mapping[str, str]
