A repeated refusal of an engine is not taken for another request's answer

Callers of the own interface: an engine that wrote an earlier 429 or 503 once more on a kept connection had it relayed as the answer to the next request, which it was running: 'not run, try again' was untrue (REFUSED), and a repeat ran twice. Cause: the agent's client kept one pool of connections for requests, orders and states of the engine; answers there bear no id. Change: a connection of its own for each request and order, and one for states.

--- /dev/null
+++ b/tests/agent/test_engine_client.py
@@ -0,0 +1,55 @@
+"""The agent's client of an engine that misbehaves on its connections."""
+
+import eventlet
+import pytest
+
+from zinniadyke import engine
+
+LATE_S = 0.05
+ANSWER = b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%b"
+
+
+class RepeatingEngine:
+    """Refuses the first request, and does so again during the next one."""
+
+    def __init__(self, status):
+        self.refusal = ANSWER % (status, 4, b"full")
+        self.refused = False
+        self.socket = eventlet.listen(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self.socket.getsockname()[1]}"
+        self.task = eventlet.spawn(self.accept)
+
+    def accept(self):
+        while True:
+            sock, _ = self.socket.accept()
+            eventlet.spawn_n(self.serve, sock)
+
+    def serve(self, sock):
+        refused_here = False
+        while sock.recv(65536):
+            if not self.refused:
+                self.refused = refused_here = True
+                sock.sendall(self.refusal)
+                continue
+            eventlet.sleep(LATE_S)
+            if refused_here:
+                sock.sendall(self.refusal)
+                eventlet.sleep(LATE_S)
+            sock.sendall(ANSWER % (200, 3, b"ran"))
+
+    def stop(self):
+        self.task.kill()
+        self.socket.close()
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_repeated_refusal_is_not_taken_for_another_requests_answer(status):
+    server = RepeatingEngine(status)
+    client = engine.EngineClient(url=server.url)
+    answers = []
+    for _ in range(2):
+        made = client.run("POST", "/x", {}, b"text", 5.0)
+        answers.append((made.status, b"".join(made.parts)))
+        made.close()
+    server.stop()
+    assert answers == [(status, b"full"), (200, b"ran")]
--- a/zinniadyke/engine/_client.py
+++ b/zinniadyke/engine/_client.py
@@ -16,7 +16,6 @@
 
 STATE_TIMEOUT_S = 2.0
 LOAD_TIMEOUT_S = 600.0
-MAX_CONNECTIONS = 256
 READ_BYTES = 16384
 
 
@@ -45,15 +44,21 @@
     content_type: str
     parts: Iterator[bytes]
     response: urllib3.BaseHTTPResponse
+    pool: urllib3.PoolManager
 
     def close(self) -> None:
         """Close the connection, which cancels the request at the engine."""
         self.response.close()
+        self.pool.clear()
 
 
 class EngineClient:
     """Client of the engine or plain service beside the agent.
 
+    An engine in trouble may send a second copy of an answer, which the next
+    call on the connection would take for its own. Requests and orders have a
+    new connection each, and reports of the state one of their own.
+
     Parameters
     ----------
     url
@@ -63,7 +68,7 @@
     def __init__(self, *, url: str) -> None:
         """Create the connection pool, which connects on first use."""
         self.url = url.rstrip("/")
-        self.pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+        self.state_pool = _make_pool()
 
     def state(self) -> EngineState:
         """Return the engine's state.
@@ -74,7 +79,7 @@
             The engine did not answer, or the answer is invalid.
         """
         try:
-            answer = self.pool.request(
+            answer = self.state_pool.request(
                 "GET", self.url + "/v1/state", timeout=STATE_TIMEOUT_S
             )
             if answer.status != 200:
@@ -110,8 +115,9 @@
         EngineError
             The engine failed or did not answer.
         """
+        pool = _make_pool()
         try:
-            answer = self.pool.request(
+            answer = pool.request(
                 "PUT",
                 f"{self.url}/v1/weights/{name}",
                 body=parts,
@@ -126,6 +132,8 @@
                 f"cannot load weights: {error}",
                 code=errors.ResultCode.LOAD_FAILED,
             )
+        finally:
+            pool.clear()
         if answer.status == 409:
             raise errors.OrderRefusedError(code=errors.ResultCode.STALE_FENCE)
         if answer.status != 200:
@@ -150,8 +158,9 @@
             The engine sent no answer. With code NO_TARGET the connection
             failed and the request did not run; otherwise it may have run.
         """
+        pool = _make_pool()
         try:
-            answer = self.pool.request(
+            answer = pool.request(
                 method,
                 self.url + path,
                 body=body,
@@ -177,9 +186,14 @@
             content_type=answer.headers.get("Content-Type", ""),
             parts=_read_body(answer),
             response=answer,
+            pool=pool,
         )
 
 
+def _make_pool() -> urllib3.PoolManager:
+    return urllib3.PoolManager(maxsize=1, retries=False)
+
+
 def _read_body(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     try:
         while part := answer.read1(READ_BYTES):
