A resumed stream without an event does not end as complete

Callers: a stream that had begun and broke off ended as if it were complete when the next target began an answer with neither length nor chunks and closed before any event, as a target does that crashes as it begins (ORDER). Cause: an answer that only its connection ends counted as broken without an event only while nothing had been sent to the caller, by any attempt. Change: each attempt must have sent an event of its own.

--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -224,7 +224,7 @@
             )
             return
         if (
-            not self.streaming
+            attempt.first_event_at is None
             and response.framing is _target_connection.Framing.CLOSE
         ):
             # Only the close ends it, as it does when the target crashes.
