A broken stream to a caller of HTTP/1.0 does not look complete

Cause: ending a response early closed the connection in the same way for all framings. Change: where only the connection's end marks that of the response, what is ready is delivered, for a second at most, and the connection is reset.

--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -108,3 +108,35 @@
         status, _, body, complete = system.ask("/stream/x")
         assert sum(len(t.seen) for t in system.targets) == 2
     assert (status, body, complete) == (200, BEGUN, False)
+
+
+def receive(sock):
+    """Return received bytes; eventlet's ``recv`` hides a reset."""
+    while True:
+        try:
+            return sock.fd.recv(65536)
+        except BlockingIOError:
+            eventlet.sleep(0.005)
+
+
+@pytest.mark.parametrize("script", CANNOT_GO_ON, ids=lambda s: s.__name__)
+def test_broken_stream_without_chunks_does_not_look_complete(script):
+    """Callers of HTTP/1.0 take the end of the connection for the stream's."""
+    serve = begins_then(script)
+    with deploy.deployment(serve, serve) as system:
+        sock = system.connect()
+        sock.sendall(
+            b"POST /stream/x HTTP/1.0\r\nHost: h.example\r\n"
+            b"X-Zinniadyke-Request-Id: r1\r\n"
+            b"X-Zinniadyke-Deadline-Ms: 3000\r\n"
+            b"X-Zinniadyke-Key: %b\r\nContent-Length: 0\r\n\r\n"
+            % deploy.KEY.encode()
+        )
+        received = b""
+        with pytest.raises(ConnectionResetError):
+            while part := receive(sock):
+                received += part
+        sock.close()
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.split(b" ")[1] == b"200"
+    assert body == BEGUN
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -16,6 +16,7 @@
 from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _request_parser
+from zinniadyke.gateway import _send_progress
 
 LOG = logging.getLogger(__name__)
 
@@ -63,6 +64,10 @@
         Whether the head of the current response was sent.
     chunked
         Whether the current response uses chunked framing.
+    ends_by_close
+        Whether only the connection's end marks that of the current response.
+    resets
+        Whether the connection ends by a reset.
     """
 
     def __init__(
@@ -93,6 +98,8 @@
         self.close_after_response = False
         self.head_sent = False
         self.chunked = False
+        self.ends_by_close = False
+        self.resets = False
         self.handler_greenlet: greenlet.greenlet | None = None
 
     def serve(self) -> None:
@@ -110,7 +117,8 @@
                 finally:
                     self.responding = False
                     self._give_back(request)
-            self._linger(reader)
+            if not self.resets:
+                self._linger(reader)
         except CallerDisconnectedError:
             pass
         except OSError as error:
@@ -163,6 +171,7 @@
         self.head_sent = True
         self.chunked = chunked
         if not chunked:
+            self.ends_by_close = True
             self.close_after_response = True
         head = _encode_head(status, headers, self.close_after_response)
         if chunked:
@@ -187,12 +196,22 @@
             self._send(b"0\r\n\r\n")
 
     def abort(self) -> None:
-        """Close the connection so that the response looks incomplete.
+        """End the connection so that the response looks incomplete.
 
         What was ready before is delivered first.
         """
         self.flush()
         self.close_after_response = True
+        if self.ends_by_close:
+            # A reset drops what the kernel still holds for the caller.
+            _send_progress.wait_acknowledged(self.sock.fd, LINGER_S)
+            self.sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _caller_writer.RESET_ON_CLOSE,
+            )
+            self.resets = self.disconnected = True
+            return
         self.disconnected = True
         self._shut_down_socket(socket.SHUT_RDWR)
 
@@ -219,6 +238,7 @@
     def _respond(self, request) -> None:
         self.head_sent = False
         self.chunked = False
+        self.ends_by_close = False
         if isinstance(request, _request.RejectedRequest):
             self.close_after_response = True
             self.send_response(request.status, [], request.reason.encode())
--- a/zinniadyke/gateway/_send_progress.py
+++ b/zinniadyke/gateway/_send_progress.py
@@ -6,6 +6,7 @@
 import termios
 import time
 
+import eventlet
 from eventlet import hubs
 
 # Looks at the peer's progress in each period in which it may take nothing.
@@ -13,6 +14,17 @@
 # Lower bound of a wait, in seconds, so that a socket that is ready is used
 # even if the time has passed.
 MIN_WAIT_S = 0.001
+ACKNOWLEDGED_CHECK_S = 0.005
+
+
+def wait_acknowledged(sock: socket.socket, timeout_s: float) -> bool:
+    """Wait until the peer has acknowledged what was sent; False if late."""
+    deadline = time.monotonic() + timeout_s
+    while _queued_bytes(sock):
+        if time.monotonic() >= deadline:
+            return False
+        eventlet.sleep(ACKNOWLEDGED_CHECK_S)
+    return True
 
 
 def wait_writable(
