A refusal without a request id does not prove that a request has not run

Callers: a target that writes an earlier refusal without the id of a request, as a faulty one may, was believed: a request that may run only once was sent to a second target, or its caller was told 'not run' (TWICE, REFUSED). With the id of another request it was not believed before either; each attempt has a connection of its own. Cause: an answer without an id was taken for one to the request that waited. Change: a refusal must name the request; otherwise the outcome is unknown. Result: three of six cases of the test failed before.

--- a/tests/gateway/test_reported_failures.py
+++ b/tests/gateway/test_reported_failures.py
@@ -334,3 +334,22 @@
             client.report(16)
     assert len(calls) == 2
     server.stop()
+
+
+@pytest.mark.parametrize("request_id", ["", "another"])
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_refusal_of_no_or_another_request_does_not_prove_not_run(
+    status, request_id
+):
+    def refuse(exchange):
+        exchange.answer(
+            status,
+            b"earlier",
+            X_Zinniadyke_Request_Id=request_id,
+            X_Zinniadyke_Not_Executed="1",
+        )
+
+    with deploy.deployment(refuse, refuse) as system:
+        answered, *_ = system.ask("/once/x")
+        arrivals = sum(len(t.seen) for t in system.targets)
+    assert (answered, arrivals) == (502, 1)
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -267,6 +267,9 @@
             return
         refused = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
         if refused or response.header(headers.NOT_RUN):
+            if not echoed:
+                self._finish(_call.Outcome.BROKEN, "refusal without an id")
+                return
             self._finish(_call.Outcome.NOT_RUN, f"refused: {response.status}")
             return
         if response.status < http.HTTPStatus.BAD_REQUEST and (
