An offer of an upgrade costs a request neither its body nor its connection

Cause: httptools ends a request that offers an upgrade after its head, and the parser took what follows for another protocol, although the entry never switches. Change: the offer is ignored (RFC 9110, 7.8): a new parser gets the head without it and the bytes that follow. CONNECT and transfer codings other than chunked get 501 and the connection ends; a gzip coding was passed on as the body of the request before.

--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -77,16 +77,47 @@
         if not self.in_body:
             self.head_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is complete; bytes of another protocol after it are
-            # not parsed.
-            self.ended = True
+            while data:
+                data = self._feed(data)
         except httptools.HttpParserError as error:
             self._reject(http.HTTPStatus.BAD_REQUEST, str(error))
         if not self.in_body and self.head_bytes > self.limits.max_header_bytes:
             self._reject_headers()
 
+    def _feed(self, data: bytes) -> bytes:
+        """Parse bytes; return those that the parser has left.
+
+        httptools takes the body of a request that offers an upgrade for
+        another protocol. The offer is ignored (RFC 9110, 7.8): a new parser
+        gets the head without it, and the rest of the bytes.
+        """
+        try:
+            self.parser.feed_data(data)
+            return b""
+        except httptools.HttpParserUpgrade as error:
+            rest = data[error.args[0] :]
+        if self.ended:
+            return b""
+        head = self._encode_head_without_offer()
+        reading_since = self.reading_since
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(head)
+        if self.in_body:
+            self.reading_since = reading_since
+        return rest
+
+    def _encode_head_without_offer(self) -> bytes:
+        lines = [
+            b"%b %b HTTP/%b"
+            % (
+                self.parser.get_method(),
+                self.target,
+                self.parser.get_http_version().encode(),
+            )
+        ]
+        lines += [b"%b: %b" % h for h in self.headers if h[0] != b"upgrade"]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def on_message_begin(self) -> None:
         """Start a request (called by httptools)."""
         self._reset()
@@ -109,7 +140,8 @@
         )
         if size > self.limits.max_header_bytes:
             self._reject_headers()
-        if not self.ended:
+        self._check_supported()
+        if not self.ended and not self.parser.should_upgrade():
             self._reserve(self._announced_bytes())
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
@@ -132,7 +164,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request (called by httptools)."""
-        if self.ended:
+        if self.ended or self.parser.should_upgrade():
             return
         self._append_request()
         self._reset()
@@ -157,6 +189,21 @@
             )
         )
 
+    def _check_supported(self) -> None:
+        codings = {
+            value.strip().lower()
+            for name, value in self.headers
+            if name == b"transfer-encoding"
+        }
+        if codings - {b"chunked"}:
+            self._reject(
+                http.HTTPStatus.NOT_IMPLEMENTED, "unknown transfer coding"
+            )
+        if self.parser.get_method() == b"CONNECT":
+            self._reject(
+                http.HTTPStatus.NOT_IMPLEMENTED, "CONNECT is not supported"
+            )
+
     def _announced_bytes(self) -> int:
         """Return the length that the header states, if it is allowed."""
         text = _request.find_header(self.headers, "content-length")
