What a request occupies is counted, not only its body's bytes

Cause: each chunk was kept as an object of its own, and the account of the memory counted payload, not what the process holds; many small header fields, trailers and pipelined requests were not counted at all. The class: bytes from outside that one process can't stand. Change: a body grows in one buffer. The head of a request counts with its fields' objects, beyond 8 KB of the first on a connection. Trailers are dropped (they became headers of the request before), and framing without end is refused with 400.

--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -259,9 +259,9 @@
             raise CallerDisconnectedError(str(error))
 
     def _give_back(self, request) -> None:
-        """Stop counting the body of a request that has ended."""
+        """Stop counting a request that has ended."""
         if isinstance(request, _request.CallerRequest):
-            self.memory.give_back(len(request.body))
+            self.memory.give_back(request.held_bytes)
 
     def _read(self) -> None:
         try:
--- a/zinniadyke/gateway/_request.py
+++ b/zinniadyke/gateway/_request.py
@@ -23,6 +23,8 @@
     ----------
     target
         Path and query, as sent.
+    held_bytes
+        Bytes that count for it in the memory account.
     arrived_at
         Monotonic time at which its first byte was read, in seconds.
     refusal
@@ -38,6 +40,7 @@
     body: bytes
     keep_alive: bool
     arrived_at: float
+    held_bytes: int = 0
     refusal: errors.RequestError | None = None
 
     def header(self, name: str) -> str:
--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -18,6 +18,16 @@
 
 # Colon, space and CRLF of each header line.
 HEADER_OVERHEAD_BYTES = 4
+# Memory that a header field occupies beyond its bytes, as Python objects.
+FIELD_MEMORY_BYTES = 200
+# The same of a request.
+REQUEST_MEMORY_BYTES = 1000
+# Memory of a connection's first request that is not counted, beyond its body;
+# most need less.
+FREE_HEAD_BYTES = 8192
+# Framing (chunk sizes, extensions, trailers) allowed beyond the limit of the
+# header block, as a multiple of the body; a chunk of one byte has five more.
+MAX_FRAMING_RATIO = 16
 # Retry-After of a request whose body does not fit. Bodies are held for about
 # as long as requests take.
 OUT_OF_MEMORY_RETRY_S = 0.3
@@ -52,8 +62,8 @@
         Parameters
         ----------
         memory
-            Account for the bodies; who consumes a request gives the size of
-            its body back.
+            Account for heads and bodies; who consumes a request gives its
+            ``held_bytes`` back.
         """
         self.limits = limits
         self.memory = memory
@@ -74,7 +84,9 @@
             return
         if self.reading_since is None:
             self.reading_since = time.monotonic()
-        if not self.in_body:
+        if self.in_body:
+            self.in_body_bytes += len(data)
+        else:
             self.head_bytes += len(data)
         try:
             while data:
@@ -83,6 +95,7 @@
             self._reject(http.HTTPStatus.BAD_REQUEST, str(error))
         if not self.in_body and self.head_bytes > self.limits.max_header_bytes:
             self._reject_headers()
+        self._check_framing()
 
     def _feed(self, data: bytes) -> bytes:
         """Parse bytes; return those that the parser has left.
@@ -128,8 +141,12 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header (called by httptools)."""
+        """Store a header, but no trailer (called by httptools)."""
+        if self.in_body or self.ended:
+            return
         self.headers.append((name.lower(), value))
+        self.head_memory_bytes += len(name) + len(value) + FIELD_MEMORY_BYTES
+        self._reserve(0)
 
     def on_headers_complete(self) -> None:
         """Check the complete header block (called by httptools)."""
@@ -155,7 +172,7 @@
         self.body_bytes += len(body)
         if not self._reserve(self.body_bytes):
             return
-        self.body.append(body)
+        self.body += body
         if self.body_bytes > self.limits.max_body_bytes:
             self._reject(
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -182,7 +199,8 @@
                 target=self.target,
                 http_1_1=self.parser.get_http_version() == "1.1",
                 headers=self.headers,
-                body=b"".join(self.body),
+                body=bytes(self.body),
+                held_bytes=self.reserved_bytes,
                 keep_alive=refusal is None and self.parser.should_keep_alive(),
                 arrived_at=self.reading_since or time.monotonic(),
                 refusal=refusal,
@@ -204,6 +222,14 @@
                 http.HTTPStatus.NOT_IMPLEMENTED, "CONNECT is not supported"
             )
 
+    def _check_framing(self) -> None:
+        """Reject a body whose framing has no end."""
+        allowed = self.limits.max_header_bytes + (
+            (1 + MAX_FRAMING_RATIO) * self.body_bytes
+        )
+        if self.in_body and self.in_body_bytes > allowed:
+            self._reject(http.HTTPStatus.BAD_REQUEST, "too much framing")
+
     def _announced_bytes(self) -> int:
         """Return the length that the header states, if it is allowed."""
         text = _request.find_header(self.headers, "content-length")
@@ -213,13 +239,15 @@
         return size
 
     def _reserve(self, size: int) -> bool:
-        """Count a body of a size; refuse the request if it does not fit."""
+        """Count the head and a body; refuse the request if it does not fit."""
+        free_bytes = 0 if self.parsed else FREE_HEAD_BYTES
+        size += max(self.head_memory_bytes - free_bytes, 0)
         more = max(size - self.reserved_bytes, 0)
         if self.memory.take(more):
             self.reserved_bytes += more
             return True
         self.ended = True
-        self.body.clear()
+        self.body = bytearray()
         self.memory.give_back(self.reserved_bytes)
         self.reserved_bytes = 0
         self._append_request(
@@ -233,11 +261,14 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: _request.Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
-        # Counted in the memory account for the body.
+        # Counted in the memory account.
         self.reserved_bytes = 0
         self.head_bytes = 0
+        self.head_memory_bytes = REQUEST_MEMORY_BYTES
+        # Bytes that arrived after the header block.
+        self.in_body_bytes = 0
         self.in_body = False
         self.expects_continue = False
         self.reading_since = None
