A later list of an agent does not postpone a version

Cause: an agent that knew the version at an unknown time, as the restarted entries told it, took the time of its next own list, up to 10 s later, for that of naming, told it to all and recorded it. The class: times that are taken from reading instead of from the event. Change: only the end of an outage of the store may take the place of an unknown time, as unknown means earlier. The test that asked for the opposite (own_list_gives_an_age_to_a_version_reported_without_one) demanded this fault; its place is taken by one on the same steps that demands that the time stays unknown.

--- a/tests/directory/test_view.py
+++ b/tests/directory/test_view.py
@@ -66,12 +66,16 @@
     assert 900 < age_ms(view, 3) < 1500
 
 
-def test_own_list_gives_an_age_to_a_version_reported_without_one():
+def test_later_list_of_an_agent_does_not_postpone_a_version():
+    """All entries were restarted as it was named, and told of it."""
     view = directory.View()
     view.set_desired_weights([desired_weights(1)])
-    view.learn_desired_weights(MODEL, ids.WeightsVersion(3), None)
-    view.set_desired_weights([desired_weights(3)])
-    assert age_ms(view, 3) < 500
+    view.learn_desired_weights(MODEL, ids.WeightsVersion(2), None)
+    observed = []
+    view.on_observed.append(lambda *named: observed.append(named))
+    view.set_desired_weights([desired_weights(2)])
+    assert age_ms(view, 2) is None
+    assert observed == []
 
 
 def test_greater_age_reported_by_another_process_is_used():
--- a/zinniadyke/directory/_view.py
+++ b/zinniadyke/directory/_view.py
@@ -262,9 +262,13 @@
             since_by_version = self.desired_since.get(desired.model, {})
             if self.desired_weights.get(desired.model, 0) < desired.version:
                 self._set_desired(desired.model, desired.version, since)
-            elif since_by_version.get(desired.version) == UNKNOWN_SINCE:
+            elif after_outage and (
+                since_by_version.get(desired.version) == UNKNOWN_SINCE
+            ):
                 since_by_version[desired.version] = since
             else:
+                # A list that is read now and then tells no time, and an
+                # unknown time is an earlier one.
                 continue
             if after_outage:
                 self.guessed_versions.add((desired.model, desired.version))
