A watch that is cut off does not keep a removed target in use

Cause: any failed call counted as an outage of the store, and objects that disappear around an outage are kept, as registrations lapse in one. The class: times that are taken from reading instead of from the event, and a state in several flags. Change: one state (in sync, suspect, lost) with its transitions as plain functions. The store is lost once it has not answered for a second: from the failure on if a watch ended early, from the begin of the call if the answer was overdue. A test that took one failed call for an outage now has one of 5 s.

--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -2,6 +2,7 @@
 
 from tests import clock
 from zinniadyke import directory
+from zinniadyke.directory import _follower
 from zinniadyke import errors
 
 
@@ -121,3 +122,61 @@
     for _ in range(3):
         source.follower.step()
     assert [revision for revision, _ in source.waits] == [10, 10, 11]
+
+
+IN_SYNC = _follower.StoreState.IN_SYNC
+SUSPECT = _follower.StoreState.SUSPECT
+LOST = _follower.StoreState.LOST
+
+
+@pytest.mark.parametrize(
+    ("state", "unanswered_s", "after_failure", "ends_outage"),
+    [
+        (IN_SYNC, 0.0, SUSPECT, False),
+        (IN_SYNC, 2.6, LOST, False),
+        (SUSPECT, 0.9, SUSPECT, False),
+        (SUSPECT, 1.0, LOST, True),
+        (LOST, 0.0, LOST, True),
+        (LOST, 9.0, LOST, True),
+    ],
+)
+def test_states_of_the_store(state, unanswered_s, after_failure, ends_outage):
+    assert _follower.state_after_failure(state, unanswered_s) is after_failure
+    assert _follower.ends_outage(state, unanswered_s) is ends_outage
+
+
+def cut_off_watch(source, *, after_s):
+    """Let a watch fail after it has waited for a time."""
+
+    def fail(revision, wait_s):
+        source.clock.now += after_s
+        raise errors.PlatformError("cut off")
+
+    source.follower.wait_for_changes = fail
+    with pytest.raises(errors.PlatformError) as caught:
+        source.follower.step()
+    source.follower._record_failure(caught.value)
+
+
+def test_watch_that_is_cut_off_does_not_keep_a_removed_target():
+    source = Source()
+    source.follower.step()
+    for _ in range(3):
+        cut_off_watch(source, after_s=1.4)
+        source.clock.now += 0.1
+        source.follower.step()
+    source.objects = {"a": 1}
+    cut_off_watch(source, after_s=1.4)
+    source.clock.now += 0.1
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1}
+
+
+def test_store_that_was_silent_for_a_watch_was_lost():
+    source = Source()
+    source.follower.step()
+    cut_off_watch(source, after_s=2.6)
+    source.objects = {"a": 1}
+    source.clock.now += 0.1
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1, "b": 2}
--- a/tests/platform/test_version_record.py
+++ b/tests/platform/test_version_record.py
@@ -134,6 +134,8 @@
     follower = platform.follow_versions(client, view)
     store.down = 503
     assert not follower.try_relist()
+    # One failed call is no outage.
+    follower.unanswered_since -= 5.0
     store.down = 0
     follower.relist()
     assert age_s(view) < 1.0
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -1,6 +1,7 @@
 """Keeps a copy of all objects of one kind in the platform's store."""
 
 from collections.abc import Callable
+import enum
 import logging
 import time
 
@@ -16,6 +17,9 @@
 RETRY_MIN_S = 0.1
 # Longest backoff.
 RETRY_MAX_S = 0.4
+# Time without an answer after which the store counts as lost. After a watch
+# that it cuts off, objects are listed sooner, and no registration lapses.
+OUTAGE_AFTER_S = 1.0
 # Targets whose registration lapsed during an outage of the store register
 # again within about 2 s of its end.
 LAPSE_GRACE_S = 2.0
@@ -26,6 +30,35 @@
 GRACE_MARGIN_S = 0.05
 
 
+class StoreState(enum.Enum):
+    """Whether the store answers a follower."""
+
+    IN_SYNC = "in sync"
+    # A call failed, but the store may only have cut it off.
+    SUSPECT = "suspect"
+    LOST = "lost"
+
+
+def state_after_failure(state: StoreState, unanswered_s: float) -> StoreState:
+    """Return the state after a failed call.
+
+    Parameters
+    ----------
+    unanswered_s
+        Time since the store should have answered, in seconds.
+    """
+    if state is StoreState.LOST or unanswered_s >= OUTAGE_AFTER_S:
+        return StoreState.LOST
+    return StoreState.SUSPECT
+
+
+def ends_outage(state: StoreState, unanswered_s: float) -> bool:
+    """Whether an answer in this state is the first after an outage."""
+    return state is StoreState.LOST or (
+        state is StoreState.SUSPECT and unanswered_s >= OUTAGE_AFTER_S
+    )
+
+
 class Follower:
     """Lists all objects of a kind, then watches for changes.
 
@@ -59,6 +92,10 @@
     ----------
     watch_wait_s
         Longest wait of a watch, in seconds.
+    state
+        Whether the store answers.
+    unanswered_since
+        Monotonic time since which the store should have answered.
     """
 
     def __init__(
@@ -96,7 +133,16 @@
         self.revision: object | None = None
         self.last_answer_at = float("-inf")
         self.outage_ended_at = float("-inf")
-        self.in_outage = False
+        self.state = StoreState.IN_SYNC
+        self.unanswered_since = float("-inf")
+        # Monotonic time by which the store should answer the present call.
+        self.answer_due_at = float("-inf")
+        self.call_began_at = float("-inf")
+
+    @property
+    def in_outage(self) -> bool:
+        """Whether the store is lost."""
+        return self.state is StoreState.LOST
 
     @property
     def outage_just_ended(self) -> bool:
@@ -145,14 +191,15 @@
     def step(self) -> bool:
         """List the objects or wait for changes; return whether any came."""
         if self.revision is None:
+            self._begin_call(0.0)
             objects, revision = self.list_all()
             self._record_answer()
             restored = self._record_era()
             changed = self._replace(objects, restored=restored)
         else:
-            changes, revision = self.wait_for_changes(
-                self.revision, self._wait_s()
-            )
+            wait_s = self._wait_s()
+            self._begin_call(wait_s)
+            changes, revision = self.wait_for_changes(self.revision, wait_s)
             self._record_answer()
             changed = self._apply(changes)
             if not changes:
@@ -243,20 +290,37 @@
     def _in_grace_period(self) -> bool:
         return self.clock() - self.outage_ended_at < LAPSE_GRACE_S
 
+    def _begin_call(self, wait_s: float) -> None:
+        self.call_began_at = self.clock()
+        self.answer_due_at = self.call_began_at + wait_s
+
     def _record_answer(self) -> None:
         self.last_answer_at = self.clock()
-        if self.in_outage:
-            self.in_outage = False
+        unanswered_s = self.last_answer_at - self.unanswered_since
+        if ends_outage(self.state, unanswered_s):
             self.outage_ended_at = self.last_answer_at
             LOG.info("store regained", extra={"kind": self.name})
+        self.state = StoreState.IN_SYNC
 
     def _record_failure(self, error: errors.PlatformError) -> None:
         # Continue with a list, not a watch: the store answers a list sooner,
         # and a watch may also be cut short.
         self.revision = None
-        if not self.in_outage:
-            self.in_outage = True
+        now = self.clock()
+        if self.state is StoreState.IN_SYNC:
+            # A watch that ends early was cut off; one that has waited for too
+            # long may have been without a store from its begin.
+            overdue = now > self.answer_due_at
+            self.unanswered_since = self.call_began_at if overdue else now
+        before = self.state
+        self.state = state_after_failure(before, now - self.unanswered_since)
+        if self.in_outage and before is not StoreState.LOST:
             LOG.warning(
                 "store lost",
                 extra={"kind": self.name, "reason": error.message},
             )
+        elif before is StoreState.IN_SYNC:
+            LOG.info(
+                "call to the store failed",
+                extra={"kind": self.name, "reason": error.message},
+            )
