Requests that wait at a stop are refused before the process ends

Cause: a stopping entry waits for requests in progress and then ends, and nothing ended the wait of those that may wait longer than the grace period lasts. Change: 2 s before the end, what has no slot yet is refused as not run, with a time to return. Result: test_requests_that_wait_at_a_stop_are_answered failed before (no answer in the grace period) and passes.

--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -131,6 +131,11 @@
         for admission in self.admissions.values():
             admission.admit_waiting()
 
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that wait for a slot, as this process ends."""
+        for admission in self.admissions.values():
+            admission.queue.refuse_all(errors.ResultCode.SHUTTING_DOWN)
+
     def has_variable_capacity(self, service: ids.ServiceName) -> bool:
         """Whether a service's slots are short for some of its requests."""
         return self._admission(service).has_variable_capacity()
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -44,6 +44,9 @@
 SHUTDOWN_ACCEPT_S = 3.0
 # Part of the grace period reserved for closing connections.
 EXIT_MARGIN_S = 0.5
+# Requests that have no slot yet this long before the end are refused: they
+# would be cut off if they began.
+REFUSE_WAITING_S = 2.0
 STOPPING_RETRY_S = 0.05
 STOP_CHECK_S = 0.05
 ACCEPT_RETRY_S = 0.05
@@ -221,6 +224,8 @@
                     caller.close_if_idle()
             if removed_from_balancer and not self.callers:
                 break
+            if time.monotonic() > end - REFUSE_WAITING_S:
+                self.forwarder.refuse_waiting()
             eventlet.sleep(STOP_CHECK_S)
         return not self.callers
 
--- a/zinniadyke/requests/_fair_queue.py
+++ b/zinniadyke/requests/_fair_queue.py
@@ -154,6 +154,24 @@
         self.finish_tags.clear()
         return False
 
+    def refuse_all(self, code: errors.ResultCode) -> None:
+        """End the wait of all requests with an error.
+
+        Load: a process that ends while more requests wait than it can still
+        serve.
+        """
+        for _, _, waiter in self._entries():
+            if not (waiter.granted or waiter.abandoned):
+                waiter.abandoned = True
+                waiter.grant_event.send_exception(
+                    errors.RequestError(
+                        code=code, retry_after_s=MIN_RETRY_AFTER_S
+                    )
+                )
+
+    def _entries(self) -> list[Entry]:
+        return list(self.heap)
+
     def _push(self, entry: Entry) -> None:
         heapq.heappush(self.heap, entry)
 
--- a/zinniadyke/requests/_lane_queue.py
+++ b/zinniadyke/requests/_lane_queue.py
@@ -178,6 +178,9 @@
             return None
         return heap[0]
 
+    def _entries(self) -> list[_fair_queue.Entry]:
+        return [entry for heap in self.lanes.values() for entry in heap]
+
     def _push(self, entry: _fair_queue.Entry) -> None:
         lane = entry[2].lane
         heapq.heappush(self.lanes.setdefault(lane, []), entry)
