Changed limits of requests hold on connections that are open

Cause: a connection took the limits once, when it was accepted. The class: a check that is older than what it guards. Change: a request takes the limits in force when it begins.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -431,6 +431,27 @@
         assert arrivals - asked <= 0.2 * asked + 10.0 / 10
 
 
+def test_raised_limit_holds_for_connections_that_are_open():
+    request = (
+        b"POST /open/x HTTP/1.1\r\nHost: h.example\r\n"
+        b"X-Zinniadyke-Request-Id: r1\r\nX-Zinniadyke-Deadline-Ms: 3000\r\n"
+        b"Content-Length: 6000\r\n\r\n" + b"x" * 6000
+    )
+    with deploy.deployment(lambda exchange: exchange.answer()) as system:
+        sock = system.connect()
+        limits = {
+            **deploy.configuration()["limits"],
+            "max_body_bytes": 10_000,
+        }
+        system.configure(deploy.configuration(2, limits=limits))
+        assert deploy.wait_until(
+            lambda: system.gateway.view.configuration.version == 2
+        )
+        sock.sendall(request)
+        assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+        sock.close()
+
+
 def test_closed_caller_connections_are_forgotten():
     with deploy.deployment(echo) as system:
         for _ in range(5):
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -315,7 +315,7 @@
     ):
         budget = _memory_budget.MemoryBudget(limit_bytes=50)
         parser = _request_parser.RequestParser(
-            limits=directory.CallerLimits(), memory=budget
+            read_limits=directory.CallerLimits, memory=budget
         )
         parser.feed(head(framing))
         fed = 0
--- a/tests/gateway/test_request_parser.py
+++ b/tests/gateway/test_request_parser.py
@@ -40,7 +40,7 @@
     """Return the parsed requests, as comparable tuples, and the account."""
     memory = _memory_budget.MemoryBudget(limit_bytes=float("inf"))
     parser = _request_parser.RequestParser(
-        limits=directory.CallerLimits(), memory=memory
+        read_limits=directory.CallerLimits, memory=memory
     )
     for part in parts:
         parser.feed(part)
@@ -147,7 +147,7 @@
 def test_memory_of_requests_stays_within_what_is_counted(parts):
     memory = _memory_budget.MemoryBudget(limit_bytes=float("inf"))
     parser = _request_parser.RequestParser(
-        limits=directory.CallerLimits(), memory=memory
+        read_limits=directory.CallerLimits, memory=memory
     )
     tracemalloc.start()
     try:
@@ -165,7 +165,7 @@
 def test_trailers_are_no_headers():
     memory = _memory_budget.MemoryBudget(limit_bytes=float("inf"))
     parser = _request_parser.RequestParser(
-        limits=directory.CallerLimits(), memory=memory
+        read_limits=directory.CallerLimits, memory=memory
     )
     parser.feed(CHUNKED % b"")
     assert [name for name, _ in parser.parsed[0].headers] == [
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -125,7 +125,7 @@
 @hypothesis.given(parts=st.lists(st.binary(max_size=60), max_size=6))
 def test_callers_bytes_are_parsed_or_rejected(parts):
     parser = _request_parser.RequestParser(
-        limits=directory.CallerLimits(),
+        read_limits=directory.CallerLimits,
         memory=_memory_budget.ProcessMemory().open_connection(),
     )
     for part in parts:
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -47,6 +47,8 @@
 
     Parameters
     ----------
+    read_limits
+        Returns the limits in force.
     handle_request
         Called with each request and this connection; writes the response.
     memory
@@ -74,17 +76,16 @@
         self,
         *,
         sock: socket.socket,
-        limits: directory.CallerLimits,
+        read_limits: Callable[[], directory.CallerLimits],
         handle_request: Callable,
         memory: _memory_budget.MemoryBudget,
     ) -> None:
         """Prepare to serve an accepted connection."""
         self.sock = sock
-        self.limits = limits
         self.handle_request = handle_request
         self.memory = memory
         self.parser = _request_parser.RequestParser(
-            limits=limits, memory=memory
+            read_limits=read_limits, memory=memory
         )
         self.writer = _caller_writer.CallerWriter(
             sock=sock, memory=memory, on_gone=self._mark_disconnected
@@ -287,10 +288,12 @@
         """Return received bytes; empty at the end or after a timeout."""
         while True:
             since = self.parser.reading_since
-            limit_s = self.limits.idle_timeout_s
+            limit_s = self.parser.limits.idle_timeout_s
             if since is not None and not self.parser.in_body:
                 limit_s = (
-                    since + self.limits.header_timeout_s - time.monotonic()
+                    since
+                    + self.parser.limits.header_timeout_s
+                    - time.monotonic()
                 )
             try:
                 hubs.trampoline(
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -255,13 +255,9 @@
             eventlet.spawn_n(self._serve_caller, sock)
 
     def _serve_caller(self, sock) -> None:
-        configuration = self.view.configuration
-        limits = directory.CallerLimits()
-        if configuration is not None:
-            limits = configuration.limits
         caller = _caller_connection.CallerConnection(
             sock=sock,
-            limits=limits,
+            read_limits=self._read_limits,
             handle_request=self._handle_request,
             memory=self.memory.open_connection(),
         )
@@ -274,6 +270,12 @@
         finally:
             self.callers.discard(caller)
 
+    def _read_limits(self) -> directory.CallerLimits:
+        configuration = self.view.configuration
+        if configuration is None:
+            return directory.CallerLimits()
+        return configuration.limits
+
     def _handle_request(
         self,
         request: _request.CallerRequest,
--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -5,6 +5,7 @@
 it hides disconnects and accepts ambiguous framing.
 """
 
+from collections.abc import Callable
 import http
 import time
 
@@ -54,18 +55,21 @@
     def __init__(
         self,
         *,
-        limits: directory.CallerLimits,
+        read_limits: Callable[[], directory.CallerLimits],
         memory: _memory_budget.MemoryBudget,
     ) -> None:
         """Start at the beginning of a connection.
 
         Parameters
         ----------
+        read_limits
+            Returns the limits in force, which hold for a request that begins.
         memory
             Account for heads and bodies; who consumes a request gives its
             ``held_bytes`` back.
         """
-        self.limits = limits
+        self.read_limits = read_limits
+        self.limits = read_limits()
         self.memory = memory
         self.parser = httptools.HttpRequestParser(self)
         self.parsed: list[
@@ -134,6 +138,7 @@
     def on_message_begin(self) -> None:
         """Start a request (called by httptools)."""
         self._reset()
+        self.limits = self.read_limits()
         self.reading_since = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
