A reload that cannot take effect is refused by name

Cause: a reload took the log level and passed over what else differed. Change: a file in which any other setting differs is refused as a whole, with a log line that names the settings. Result: test_reload_that_would_change_nothing_is_refused_by_name failed before.

--- a/zinniadyke/ui/_platform_daemon.py
+++ b/zinniadyke/ui/_platform_daemon.py
@@ -5,6 +5,7 @@
 import signal
 
 import eventlet
+import msgspec
 
 from zinniadyke import errors
 from zinniadyke import settings
@@ -16,6 +17,7 @@
 # Interval between checks of the settings file, which may change without a
 # signal.
 SETTINGS_CHECK_S = 1.0
+LOG_LEVEL = "log.level"
 
 
 def run(name: str, file: str) -> int:
@@ -51,10 +53,24 @@
     return sidecar.Sidecar(loaded=loaded)
 
 
+def changed_settings(
+    before: settings.PlatformProcessSettings,
+    after: settings.PlatformProcessSettings,
+) -> set[str]:
+    """Return the dotted names of the settings that differ."""
+    return {
+        f"{section}.{name}"
+        for section, values in msgspec.structs.asdict(after).items()
+        for name, value in msgspec.structs.asdict(values).items()
+        if value != getattr(getattr(before, section), name)
+    }
+
+
 class SettingsReloader:
     """Applies changes of the settings file that need no restart.
 
-    Only the log level changes; addresses and bounds stay as at the start.
+    Only the log level may change. A file with other changes is refused as a
+    whole, as a part of it would leave the process between two settings.
     """
 
     def __init__(
@@ -83,6 +99,13 @@
                 extra={"reason": error.message},
             )
             return
+        changed = changed_settings(self.loaded, loaded) - {LOG_LEVEL}
+        if changed:
+            LOG.warning(
+                "reload refused, these settings need a restart",
+                extra={"settings": self.file, "changed": sorted(changed)},
+            )
+            return
         self.loaded = loaded
         logging.getLogger().setLevel(loaded.log.level.value.upper())
         LOG.info("reload", extra={"settings": self.file})
