Staged weights are not ordered on an old verification

Cause: nothing bounded the time from the reading to the order. The class: a check that is older than what it guards.

--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -191,8 +191,8 @@
             self.changed.wait(min(remaining_s, SWITCH_POLL_INTERVAL_S))
             return
         started = time.monotonic()
-        _staging.stage_and_verify(self.target, store)
-        done = self._load(model, store.version)
+        verified_since = _staging.stage_and_verify(self.target, store)
+        done = self._load(model, store.version, verified_since)
         telemetry.count(
             telemetry.Metric.ORDERS, label="loaded" if done else "not loaded"
         )
@@ -303,8 +303,19 @@
         finally:
             origin.close_idle()
 
-    def _load(self, model: ids.ModelName, version: ids.WeightsVersion) -> bool:
-        """Order a load and wait for it; return whether it succeeded."""
+    def _load(
+        self,
+        model: ids.ModelName,
+        version: ids.WeightsVersion,
+        verified_since: float,
+    ) -> bool:
+        """Order a load and wait for it; return whether it succeeded.
+
+        Parameters
+        ----------
+        verified_since
+            Uptime since which the staged pieces were read back.
+        """
         layers = self._layers()
         before = self.target.report(layers)
         self.reporter.publish_report(before)
@@ -315,6 +326,12 @@
             return False
         self.reporter.announce_switch()
         eventlet.sleep(ANNOUNCE_DELAY_S)
+        if not _staging.is_recent(verified_since):
+            LOG.info(
+                "staged pieces verified too long ago, reading them again",
+                extra={"model": model, "version": version},
+            )
+            return False
         started = self.target.load(
             model,
             version,
