The time until a start does not begin anew with the head of an answer

Cause: the seconds left for the start were granted once for the head and once more for the first event. The class: times that are taken from reading instead of from the event. Change: the relay gets the moment by which the target must have begun; a connection that opens after it sends nothing.

--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -104,6 +104,35 @@
         system.stop()
 
 
+def test_time_until_a_start_does_not_begin_anew_with_the_head():
+    """The head comes as the target admits a request, before it begins it."""
+    closed_after_s = []
+
+    def admit_late(exchange):
+        arrived_at = time.monotonic()
+        eventlet.sleep(0.4)
+        exchange.head(framing="Transfer-Encoding: chunked")
+        exchange.wait_closed(2.0)
+        closed_after_s.append(time.monotonic() - arrived_at)
+
+    system = make_deployment(admit_late, version_ms=1500)
+    try:
+        system.start()
+        assert deploy.wait_until(
+            lambda: system.gateway.view.listed_versions is not None
+        )
+        start_in_s = 0.6
+        named_s_ago = 1.5 - _target_table.START_MARGIN_S - start_in_s
+        system.gateway.view.learn_desired_weights(
+            ids.ModelName("m"), ids.WeightsVersion(2), named_s_ago
+        )
+        ask(system)
+        assert deploy.wait_until(lambda: closed_after_s)
+        assert closed_after_s[0] <= start_in_s + 0.1
+    finally:
+        system.stop()
+
+
 def test_target_without_all_layers_gets_no_requests():
     system = deploy.Deployment()
     try:
--- a/zinniadyke/gateway/_attempt.py
+++ b/zinniadyke/gateway/_attempt.py
@@ -133,8 +133,17 @@
             state.tokens.taken_until if state.tokens else float("-inf")
         )
 
-    def begin(self, response_timeout_s: float) -> None:
-        """Send the request and read the head of the response."""
+    def begin(
+        self, response_timeout_s: float, start_by: float = float("inf")
+    ) -> None:
+        """Send the request and read the head of the response.
+
+        Parameters
+        ----------
+        start_by
+            Uptime by which the target must have started the request, in
+            seconds.
+        """
         remaining_s = self.call.remaining_s
         try:
             self.connection.connect(min(CONNECT_TIMEOUT_S, remaining_s))
@@ -156,6 +165,11 @@
             self.withdrawn = True
             self._finish(_call.Outcome.NOT_RUN, "the token has expired")
             return
+        response_timeout_s = min(response_timeout_s, start_by - uptime.now_s())
+        if response_timeout_s <= 0:
+            self.withdrawn = True
+            self._finish(_call.Outcome.NOT_RUN, "too late to start")
+            return
         try:
             self.connection.send(
                 self._encode_head(),
--- a/zinniadyke/gateway/_forward.py
+++ b/zinniadyke/gateway/_forward.py
@@ -31,7 +31,6 @@
 from zinniadyke import reports
 from zinniadyke import settings
 from zinniadyke import telemetry
-from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -203,7 +202,7 @@
             )
             self.crash_guard.begin(attempt)
             try:
-                relay.run(attempt, start_deadline - uptime.now_s())
+                relay.run(attempt, start_deadline)
             finally:
                 attempt.close()
                 admission.release(state)
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -13,6 +13,7 @@
 from zinniadyke.gateway import _caller_connection
 from zinniadyke.gateway import _events
 from zinniadyke.gateway import _target_connection
+from zinniadyke import uptime
 
 LOG = logging.getLogger(__name__)
 
@@ -55,25 +56,26 @@
         self.may_have_run = False
         # Attempt whose failed response may be the call's result.
         self.failed: _attempt.Attempt | None = None
-        self.start_timeout_s = float("inf")
+        self.start_by = float("inf")
         self.can_resume: Callable[[_call.Call], bool] = lambda call: True
 
-    def run(self, attempt: _attempt.Attempt, start_timeout_s: float) -> None:
+    def run(self, attempt: _attempt.Attempt, start_by: float) -> None:
         """Make one attempt and relay its response.
 
         Parameters
         ----------
-        start_timeout_s
-            Time within which the target must start the request, in seconds.
+        start_by
+            Uptime by which the target must have started the request, in
+            seconds.
         """
         self._drop_failed_body()
-        self.start_timeout_s = start_timeout_s
+        self.start_by = start_by
         self._run_attempt(attempt)
         if attempt.outcome in (_call.Outcome.BROKEN, _call.Outcome.FAILED):
             self.may_have_run = True
 
     def _run_attempt(self, attempt: _attempt.Attempt) -> None:
-        attempt.begin(min(self._response_timeout_s(), self.start_timeout_s))
+        attempt.begin(self._response_timeout_s(), self.start_by)
         if attempt.outcome is not None:
             return
         response = attempt.connection
@@ -184,7 +186,9 @@
         response = attempt.connection
         # Bytes that complete no event do not count as progress.
         waiting_since = time.monotonic()
-        timeout_s = min(self._response_timeout_s(), self.start_timeout_s)
+        timeout_s = min(
+            self._response_timeout_s(), self.start_by - uptime.now_s()
+        )
         try:
             while True:
                 remaining_s = self.call.remaining_s + _attempt.RESPONSE_GRACE_S
