The refusal of a HEAD request has no body

Cause: refusals were written in the same way for all methods. Change: they end after the header block, with the length that a GET would have. Result: test_refused_head_request_leaves_no_body_on_the_connection failed before.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -452,6 +452,23 @@
         sock.close()
 
 
+def test_refused_head_request_leaves_no_body_on_the_connection():
+    head = (
+        b"%b /none/x HTTP/1.1\r\nHost: h.example\r\n"
+        b"X-Zinniadyke-Request-Id: r1\r\n\r\n"
+    )
+    with deploy.deployment(echo) as system:
+        sock = system.connect()
+        answers = []
+        for _ in range(2):
+            sock.sendall(head % b"HEAD")
+            answers.append(sock.recv(65536))
+        sock.close()
+    for answer in answers:
+        assert answer.startswith(b"HTTP/1.1 4")
+        assert answer.endswith(b"\r\n\r\n")
+
+
 def test_closed_caller_connections_are_forgotten():
     with deploy.deployment(echo) as system:
         for _ in range(5):
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -362,9 +362,12 @@
             )
         if error.retry_after_s is not None:
             fields.append((b"retry-after", b"%.3f" % error.retry_after_s))
-        caller.send_response(
-            error.code.status, fields, error.message.encode() + b"\n"
-        )
+        body = error.message.encode() + b"\n"
+        if request.method == "HEAD":
+            fields.append((b"content-length", b"%d" % len(body)))
+            caller.send_bodiless(error.code.status, fields)
+        else:
+            caller.send_response(error.code.status, fields, body)
         caller.flush()
 
     def _log_request(
