An offer of an upgrade with a large head is counted once

Cause: found when the diff was read: the head of a request that offers an upgrade is parsed twice, and what it counts in the memory account for beyond 8 KB was counted twice until its connection ended. Change: what the first pass counted is given back. Property tests of the splitting of lists (any JSON values, any bytes; 200 examples each, seeded).

--- a/tests/gateway/test_request_parser.py
+++ b/tests/gateway/test_request_parser.py
@@ -162,6 +162,17 @@
     assert most <= SLACK_BYTES
 
 
+def test_large_head_with_an_offer_of_an_upgrade_is_counted_once():
+    memory = _memory_budget.MemoryBudget(limit_bytes=float("inf"))
+    parser = _request_parser.RequestParser(
+        read_limits=directory.CallerLimits, memory=memory
+    )
+    fields = b"".join(b"x-%d: y\r\n" % n for n in range(200))
+    parser.feed(PLAIN.replace(b"Host: h\r\n", b"Host: h\r\n" + OFFER + fields))
+    (request,) = parser.parsed
+    assert memory.held == request.held_bytes > 0
+
+
 def test_trailers_are_no_headers():
     memory = _memory_budget.MemoryBudget(limit_bytes=float("inf"))
     parser = _request_parser.RequestParser(
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -1,6 +1,10 @@
 """Entries that another writer left among those of the targets."""
 
+import json
+
 import eventlet
+import hypothesis
+from hypothesis import strategies
 import msgspec
 import pytest
 
@@ -8,8 +12,19 @@
 from zinniadyke import directory
 from zinniadyke import fakes
 from zinniadyke import platform
+from zinniadyke.platform import _json_text
 from zinniadyke.platform import _store
 
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200, database=None
+)
+VALUES = strategies.recursive(
+    strategies.none() | strategies.integers() | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(strategies.text(), inner)
+    ),
+)
 SOUND = {
     "service": "desk",
     "address": "10.1.2.3:8080",
@@ -121,3 +136,28 @@
     store.put("servers", "t9", SOUND)
     listed = _store.StoreClient(address=store.address).list_objects("servers")
     assert listed.objects[-1].metadata.name == "t9"
+
+
+@SETTINGS
+@hypothesis.given(
+    values=strategies.lists(VALUES), indent=strategies.sampled_from([None, 1])
+)
+def test_split_texts_are_those_of_the_parts(values, indent):
+    text = json.dumps(values, indent=indent).encode()
+    parts = _json_text.split_elements(text)
+    assert [json.loads(part) for part in parts] == values
+    members = {f"n{number}": value for number, value in enumerate(values)}
+    text = json.dumps(members, indent=indent).encode()
+    split = _json_text.split_members(text)
+    assert {n: json.loads(part) for n, part in split.items()} == members
+    assert json.loads(_json_text.join_members(split)) == members
+
+
+@SETTINGS
+@hypothesis.given(text=strategies.binary())
+def test_any_text_is_split_or_refused(text):
+    for split in (_json_text.split_elements, _json_text.split_members):
+        try:
+            split(text)
+        except (ValueError, msgspec.MsgspecError):
+            continue
--- a/zinniadyke/gateway/_request_parser.py
+++ b/zinniadyke/gateway/_request_parser.py
@@ -116,6 +116,8 @@
         if self.ended:
             return b""
         head = self._encode_head_without_offer()
+        # The new parser counts the head again.
+        self.memory.give_back(self.reserved_bytes)
         reading_since = self.reading_since
         self.parser = httptools.HttpRequestParser(self)
         self.parser.feed_data(head)
