--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -46,7 +46,7 @@
     exchange.answer(200, ERROR)
 
 
-def refuse_without_a_signature(exchange):
+def answer_without_a_signature(exchange):
     exchange.answer(200, event(3), X_Zinniadyke_Server_Stamp="")
 
 
@@ -76,7 +76,7 @@
     fail_as_a_stream,
     answer_another_type,
     answer_without_a_type,
-    refuse_without_a_signature,
+    answer_without_a_signature,
     end_without_an_event,
     answer_nothing,
     send_a_head_twice,
