A watch cut off just after its wait is no outage of the store

Cause: told a cut from silence by time: a watch that failed later than its wait counted as unanswered from its begin, 2 s before, and thus as an outage, around which removed registrations are kept. The platform may cut off a watch at any moment. Change: the kind of failure decides. Only a call that gets neither an answer nor the end of its connection (PlatformTimeoutError) counts from its begin, any other from the end of its wait on. The test of a silent store now raises that error, as the store's client does. Result: test_watch_that_is_cut_off_does_not_keep_a_removed_target failed for cuts after 2.01 and 2.5 s before and passes; test_only_a_call_without_any_end_has_timed_out shows on sockets that a closed and a reset watch are told from a silent one.

--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -145,12 +145,12 @@
     assert _follower.ends_outage(state, unanswered_s) is ends_outage
 
 
-def cut_off_watch(source, *, after_s):
+def cut_off_watch(source, *, after_s, error=errors.PlatformError):
     """Let a watch fail after it has waited for a time."""
 
     def fail(revision, wait_s):
         source.clock.now += after_s
-        raise errors.PlatformError("cut off")
+        raise error("no answer")
 
     source.follower.wait_for_changes = fail
     with pytest.raises(errors.PlatformError) as caught:
@@ -158,15 +158,17 @@
     source.follower._record_failure(caught.value)
 
 
-def test_watch_that_is_cut_off_does_not_keep_a_removed_target():
+# DRAIN: a cut of a watch counted as an outage, also one just after its wait.
+@pytest.mark.parametrize("after_s", [1.4, 2.01, 2.5])
+def test_watch_that_is_cut_off_does_not_keep_a_removed_target(after_s):
     source = Source()
     source.follower.step()
     for _ in range(3):
-        cut_off_watch(source, after_s=1.4)
+        cut_off_watch(source, after_s=after_s)
         source.clock.now += 0.1
         source.follower.step()
     source.objects = {"a": 1}
-    cut_off_watch(source, after_s=1.4)
+    cut_off_watch(source, after_s=after_s)
     source.clock.now += 0.1
     source.follower.step()
     assert source.updates[-1] == {"a": 1}
@@ -175,7 +177,7 @@
 def test_store_that_was_silent_for_a_watch_was_lost():
     source = Source()
     source.follower.step()
-    cut_off_watch(source, after_s=2.6)
+    cut_off_watch(source, after_s=2.6, error=errors.PlatformTimeoutError)
     source.objects = {"a": 1}
     source.clock.now += 0.1
     source.follower.step()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 from zinniadyke import platform
 from zinniadyke.platform import _decode_configuration
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _revision
 from zinniadyke.platform import _store
 
 
@@ -192,3 +193,26 @@
     task = eventlet.spawn(made.run)
     assert deploy.wait_until(lambda: len(steps) > 5, 0.25)
     task.kill()
+
+
+# DRAIN: a watch cut off just after its wait counted as one without an answer.
+@pytest.mark.parametrize(
+    ("end", "timed_out"),
+    [
+        (lambda exchange: None, False),
+        (lambda exchange: exchange.reset(), False),
+        (lambda exchange: eventlet.sleep(2.0), True),
+    ],
+    ids=["closed", "reset", "silent"],
+)
+def test_only_a_call_without_any_end_has_timed_out(end, timed_out):
+    def script(exchange):
+        eventlet.sleep(0.05)
+        end(exchange)
+
+    server = fakes.ScriptedTarget(script=script)
+    client = platform.StoreClient(address=server.address)
+    with pytest.raises(errors.PlatformError) as caught:
+        client.watch("a", _revision.Revision(_revision.NO_ERA, 1), 0.02)
+    server.stop()
+    assert isinstance(caught.value, errors.PlatformTimeoutError) == timed_out
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -59,6 +59,26 @@
     )
 
 
+def first_unanswered_at(
+    *, began_at: float, due_at: float, failed_at: float, timed_out: bool
+) -> float:
+    """Return since when the store may not have answered a failed call.
+
+    A watch may be cut off at any moment, also just after its wait. Only one
+    that gets no answer at all may have been without a store all the while.
+
+    Parameters
+    ----------
+    began_at, due_at, failed_at
+        Monotonic times of the call's begin, of the end of the wait that it
+        asked for, and of its failure, in seconds.
+    timed_out
+        Whether it failed because nothing came, neither an answer nor the end
+        of its connection.
+    """
+    return began_at if timed_out else min(due_at, failed_at)
+
+
 class Follower:
     """Lists all objects of a kind, then watches for changes.
 
@@ -308,10 +328,12 @@
         self.revision = None
         now = self.clock()
         if self.state is StoreState.IN_SYNC:
-            # A watch that ends early was cut off; one that has waited for too
-            # long may have been without a store from its begin.
-            overdue = now > self.answer_due_at
-            self.unanswered_since = self.call_began_at if overdue else now
+            self.unanswered_since = first_unanswered_at(
+                began_at=self.call_began_at,
+                due_at=self.answer_due_at,
+                failed_at=now,
+                timed_out=isinstance(error, errors.PlatformTimeoutError),
+            )
         before = self.state
         self.state = state_after_failure(before, now - self.unanswered_since)
         if self.in_outage and before is not StoreState.LOST:
--- a/zinniadyke/errors/__init__.py
+++ b/zinniadyke/errors/__init__.py
@@ -8,6 +8,7 @@
 from zinniadyke.errors._exceptions import OrderRefusedError
 from zinniadyke.errors._exceptions import PeerTimeoutError
 from zinniadyke.errors._exceptions import PlatformError
+from zinniadyke.errors._exceptions import PlatformTimeoutError
 from zinniadyke.errors._exceptions import RequestError
 from zinniadyke.errors._exceptions import SettingsError
 from zinniadyke.errors._exceptions import UnknownOutcomeError
@@ -22,6 +23,7 @@
     "OrderRefusedError",
     "PeerTimeoutError",
     "PlatformError",
+    "PlatformTimeoutError",
     "Ran",
     "RequestError",
     "ResultCode",
--- a/zinniadyke/errors/_exceptions.py
+++ b/zinniadyke/errors/_exceptions.py
@@ -66,6 +66,10 @@
     default_code = ResultCode.PLATFORM_UNAVAILABLE
 
 
+class PlatformTimeoutError(PlatformError):
+    """The platform's object API did not answer in time."""
+
+
 class RequestError(ZinniadykeError):
     """A caller's request ended without a complete response."""
 
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -371,7 +371,7 @@
             )
         except urllib3.exceptions.HTTPError as error:
             telemetry.count(telemetry.Metric.PLATFORM_FAILURES, label="none")
-            raise errors.PlatformError(f"{method} {path}: {error}")
+            raise _failure(error)(f"{method} {path}: {error}")
         self._record_era(answer)
         if answer.status == http.HTTPStatus.GONE:
             raise HistoryGoneError(
@@ -390,6 +390,18 @@
         return answer
 
 
+def _failure(
+    error: urllib3.exceptions.HTTPError,
+) -> type[errors.PlatformError]:
+    """Return the exception for a call without an answer."""
+    if isinstance(
+        error,
+        (urllib3.exceptions.TimeoutError, bounded_http.AnswerTooSlowError),
+    ):
+        return errors.PlatformTimeoutError
+    return errors.PlatformError
+
+
 def _path(kind: str, name: str | None = None) -> str:
     path = f"/v1/objects/{kind}"
     return path if name is None else f"{path}/{parse.quote(name, safe='')}"
