Logs and counters of what an outage of the store keeps in use

Cause: why a target got requests after its registration was gone could not be told from the logs: a cut watch, an outage, and one outage after another looked alike, and no line named the object that was kept. Change: `store lost` and `store regained` say how long there was no answer, `object kept after an outage` and `objects gone after an outage` name the objects; counters store_outages and lapsed_kept, by kind. Nothing else changes.

--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from zinniadyke import errors
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -28,6 +29,7 @@
 REMOVED_MEMORY_S = 60.0
 # Added to a watch that ends with the grace period, to end after it.
 GRACE_MARGIN_S = 0.05
+MS_PER_S = 1000
 
 
 class StoreState(enum.Enum):
@@ -296,13 +298,32 @@
             if now - at < REMOVED_MEMORY_S
         }
         if self._in_grace_period():
-            self.lapsed[name] = obj
+            self._keep_lapsed(name, obj)
         else:
             self.removed[name] = now
 
+    def _keep_lapsed(self, name: str, obj: object) -> None:
+        """Keep an object that disappeared around an outage for a while."""
+        self.lapsed[name] = obj
+        telemetry.count(telemetry.Metric.LAPSED_KEPT, label=self.name)
+        LOG.info(
+            "object kept after an outage",
+            extra={
+                "kind": self.name,
+                "object": name,
+                "outage_ended_ms_ago": int(
+                    (self.clock() - self.outage_ended_at) * MS_PER_S
+                ),
+            },
+        )
+
     def _drop_lapsed(self) -> bool:
         if not self.lapsed or self._in_grace_period():
             return False
+        LOG.info(
+            "objects gone after an outage",
+            extra={"kind": self.name, "objects": sorted(self.lapsed)},
+        )
         self.removed.update(dict.fromkeys(self.lapsed, self.clock()))
         self.lapsed.clear()
         return True
@@ -319,7 +340,14 @@
         unanswered_s = self.last_answer_at - self.unanswered_since
         if ends_outage(self.state, unanswered_s):
             self.outage_ended_at = self.last_answer_at
-            LOG.info("store regained", extra={"kind": self.name})
+            telemetry.count(telemetry.Metric.STORE_OUTAGES, label=self.name)
+            LOG.info(
+                "store regained",
+                extra={
+                    "kind": self.name,
+                    "unanswered_ms": int(unanswered_s * MS_PER_S),
+                },
+            )
         self.state = StoreState.IN_SYNC
 
     def _record_failure(self, error: errors.PlatformError) -> None:
@@ -335,11 +363,16 @@
                 timed_out=isinstance(error, errors.PlatformTimeoutError),
             )
         before = self.state
-        self.state = state_after_failure(before, now - self.unanswered_since)
+        unanswered_s = now - self.unanswered_since
+        self.state = state_after_failure(before, unanswered_s)
         if self.in_outage and before is not StoreState.LOST:
             LOG.warning(
                 "store lost",
-                extra={"kind": self.name, "reason": error.message},
+                extra={
+                    "kind": self.name,
+                    "unanswered_ms": int(unanswered_s * MS_PER_S),
+                    "reason": error.message,
+                },
             )
         elif before is StoreState.IN_SYNC:
             LOG.info(
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -25,6 +25,10 @@
     CONFIG_REVISION = "config_revision"
     PLATFORM_CALLS = "platform_calls"
     PLATFORM_FAILURES = "platform_failures"
+    # Times that the store had not answered for a second.
+    STORE_OUTAGES = "store_outages"
+    # Objects that disappeared around an outage and stay in use for a while.
+    LAPSED_KEPT = "lapsed_kept"
     STORE_RESTORED = "store_restored"
     # Answers of the store whose era is an earlier one or not stated.
     STORE_ANSWERS_DROPPED = "store_answers_dropped"
