Further outages do not renew the time of a lapsed registration

Callers: while the store was lost for a second or more every two seconds or sooner, a target whose registration was gone got requests until that stopped, and with no end to the outages for ever (DRAIN and, once the target has ended, requests that fail). Cause: the time for which a registration that disappears around an outage is kept was counted from the end of the newest outage, for all of them together, so each outage renewed it. Change: each object has its own end. A further outage postpones it by the time in which the store gave no answer, as targets can register again only while it answers, and by no more. Result: test_further_outages_do_not_renew_the_time_of_a_lapsed_object and test_object_that_lapses_in_a_later_outage_has_the_whole_time failed before and pass; test_lapsed_object_has_its_time_although_the_store_is_lost_meanwhile holds before and after. Tests of tests/directory and tests/platform pass.

--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -182,3 +182,69 @@
     source.clock.now += 0.1
     source.follower.step()
     assert source.updates[-1] == {"a": 1, "b": 2}
+
+
+def have_outage_of(source, seconds):
+    """Let the store be silent for some time, then list its objects again."""
+    source.follower._record_failure(errors.PlatformError("down"))
+    source.clock.now += seconds
+    source.follower.step()
+
+
+# DRAIN: each outage renewed the time for which a removed target is kept.
+def test_further_outages_do_not_renew_the_time_of_a_lapsed_object():
+    source = Source()
+    source.follower.step()
+    source.objects = {"a": 1}
+    have_outage_of(source, 3.0)
+    answering_s = 0.0
+    while "b" in source.updates[-1]:
+        source.clock.now += 0.9
+        answering_s += 0.9
+        assert answering_s < 3.0
+        source.answers = [[]]
+        source.follower.step()
+        have_outage_of(source, 1.1)
+
+
+def test_lapsed_object_has_its_time_although_the_store_is_lost_meanwhile():
+    """It can register again only while the store answers."""
+    source = Source()
+    source.follower.step()
+    source.objects = {"a": 1}
+    have_outage_of(source, 3.0)
+    source.clock.now += 0.5
+    source.answers = [[]]
+    source.follower.step()
+    have_outage_of(source, 8.0)
+    source.clock.now += 1.0
+    source.answers = [[]]
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1, "b": 2}
+    source.answers = [[("b", 5)]]
+    source.follower.step()
+    source.clock.now += 5.0
+    source.answers = [[]]
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1, "b": 5}
+
+
+def test_object_that_lapses_in_a_later_outage_has_the_whole_time():
+    source = Source()
+    source.objects = {"a": 1, "b": 2, "c": 3}
+    source.follower.step()
+    source.objects = {"a": 1, "c": 3}
+    have_outage_of(source, 3.0)
+    source.clock.now += 1.5
+    source.answers = [[]]
+    source.follower.step()
+    source.objects = {"a": 1}
+    have_outage_of(source, 2.0)
+    source.clock.now += 1.0
+    source.answers = [[]]
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1, "c": 3}
+    source.clock.now += 1.1
+    source.answers = [[]]
+    source.follower.step()
+    assert source.updates[-1] == {"a": 1}
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -146,6 +146,8 @@
         self.watch_wait_s = WATCH_WAIT_S
         self.objects: dict[str, object] = {}
         self.lapsed: dict[str, object] = {}
+        # Monotonic time until which each lapsed object is kept.
+        self.kept_until: dict[str, float] = {}
         # Monotonic time of the removal of each object.
         self.removed: dict[str, float] = {}
         # Objects that a restored store lists although they were removed.
@@ -237,7 +239,7 @@
     def _wait_s(self) -> float:
         if not self.lapsed:
             return self.watch_wait_s
-        left_s = self.outage_ended_at + LAPSE_GRACE_S - self.clock()
+        left_s = min(self.kept_until.values()) - self.clock()
         return min(max(left_s, 0.0) + GRACE_MARGIN_S, self.watch_wait_s)
 
     def _record_era(self) -> bool:
@@ -273,8 +275,7 @@
         }
         self.objects = present
         for name in present:
-            self.lapsed.pop(name, None)
-            self.removed.pop(name, None)
+            self._forget_absence(name)
         return True
 
     def _apply(self, changes: list) -> bool:
@@ -282,12 +283,17 @@
             self.resurrected.pop(name, None)
             if obj is not None:
                 self.objects[name] = obj
-                self.lapsed.pop(name, None)
-                self.removed.pop(name, None)
+                self._forget_absence(name)
             elif name in self.objects:
                 self._remove(name, self.objects.pop(name))
         return bool(changes)
 
+    def _forget_absence(self, name: str) -> None:
+        """Record that an object is present."""
+        self.lapsed.pop(name, None)
+        self.kept_until.pop(name, None)
+        self.removed.pop(name, None)
+
     def _remove(self, name: str, obj: object) -> None:
         if not self.keep_lapsed:
             return
@@ -305,6 +311,7 @@
     def _keep_lapsed(self, name: str, obj: object) -> None:
         """Keep an object that disappeared around an outage for a while."""
         self.lapsed[name] = obj
+        self.kept_until[name] = self.outage_ended_at + LAPSE_GRACE_S
         telemetry.count(telemetry.Metric.LAPSED_KEPT, label=self.name)
         LOG.info(
             "object kept after an outage",
@@ -318,16 +325,29 @@
         )
 
     def _drop_lapsed(self) -> bool:
-        if not self.lapsed or self._in_grace_period():
+        now = self.clock()
+        gone = [name for name, at in self.kept_until.items() if at <= now]
+        if not gone:
             return False
         LOG.info(
             "objects gone after an outage",
-            extra={"kind": self.name, "objects": sorted(self.lapsed)},
+            extra={"kind": self.name, "objects": sorted(gone)},
         )
-        self.removed.update(dict.fromkeys(self.lapsed, self.clock()))
-        self.lapsed.clear()
+        for name in gone:
+            del self.lapsed[name], self.kept_until[name]
+            self.removed[name] = now
         return True
 
+    def _end_outage(self, unanswered_s: float) -> None:
+        """Begin the grace period of objects that lapsed in an outage.
+
+        Those that were kept before it are kept for what was left of their
+        time, in which they can register again.
+        """
+        self.outage_ended_at = self.last_answer_at
+        for name in self.kept_until:
+            self.kept_until[name] += unanswered_s
+
     def _in_grace_period(self) -> bool:
         return self.clock() - self.outage_ended_at < LAPSE_GRACE_S
 
@@ -339,7 +359,7 @@
         self.last_answer_at = self.clock()
         unanswered_s = self.last_answer_at - self.unanswered_since
         if ends_outage(self.state, unanswered_s):
-            self.outage_ended_at = self.last_answer_at
+            self._end_outage(unanswered_s)
             telemetry.count(telemetry.Metric.STORE_OUTAGES, label=self.name)
             LOG.info(
                 "store regained",
