One silent connection is no outage of the store

Callers: a target whose registration is removed while one watch of an entry stays without an answer (the answer was lost) went on getting requests for 2 s after the entry had listed the targets again, though the store answered all other calls. A process has several connections, whose answers say otherwise. Change: a call that times out counts from the newest answer to any call of the process on. Result: test_silent_watch_is_no_outage_while_other_calls_are_answered fails with that evidence left out and passes; with the last answer 2 s ago the outage counts as before.

--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -19,6 +19,7 @@
         self.answers = []
         self.waits = []
         self.updates = []
+        self.answered_at = float("-inf")
         self.follower = directory.Follower(
             name="kind",
             list_all=lambda: (dict(self.objects), 10),
@@ -26,6 +27,7 @@
             history_gone=HistoryGone,
             on_update=self.updates.append,
             keep_lapsed=True,
+            answered_at=lambda: self.answered_at,
             clock=self.clock.monotonic,
         )
 
@@ -248,3 +250,20 @@
     source.answers = [[]]
     source.follower.step()
     assert source.updates[-1] == {"a": 1}
+
+
+# DRAIN: one connection that fell silent counted as an outage of the store.
+@pytest.mark.parametrize(
+    ("answered_s_ago", "kept"), [(0.3, False), (2.0, True)]
+)
+def test_silent_watch_is_no_outage_while_other_calls_are_answered(
+    answered_s_ago, kept
+):
+    source = Source()
+    source.follower.step()
+    source.answered_at = source.clock.now + 2.6 - answered_s_ago
+    cut_off_watch(source, after_s=2.6, error=errors.PlatformTimeoutError)
+    source.objects = {"a": 1}
+    source.clock.now += 0.1
+    source.follower.step()
+    assert ("b" in source.updates[-1]) == kept
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -216,3 +216,16 @@
         client.watch("a", _revision.Revision(_revision.NO_ERA, 1), 0.02)
     server.stop()
     assert isinstance(caught.value, errors.PlatformTimeoutError) == timed_out
+
+
+def test_refusal_does_not_count_as_an_answer_of_the_store(store):
+    client = platform.StoreClient(address=store.address)
+    follower = platform.follow_targets(client, directory.View())
+    assert follower.answered_at() == float("-inf")
+    client.list_objects("servers")
+    answered_at = follower.answered_at()
+    assert answered_at > float("-inf")
+    store.down = 503
+    with pytest.raises(errors.PlatformError):
+        client.list_objects("servers")
+    assert follower.answered_at() == answered_at
--- a/zinniadyke/directory/_follower.py
+++ b/zinniadyke/directory/_follower.py
@@ -72,8 +72,9 @@
     Parameters
     ----------
     began_at, due_at, failed_at
-        Monotonic times of the call's begin, of the end of the wait that it
-        asked for, and of its failure, in seconds.
+        Monotonic times of the call's begin or of a later answer to another
+        call, of the end of the wait that it asked for, and of its failure,
+        in seconds.
     timed_out
         Whether it failed because nothing came, neither an answer nor the end
         of its connection.
@@ -104,6 +105,9 @@
         the store are kept for a grace period of ``LAPSE_GRACE_S`` seconds,
         and objects that a restored store lists again after their removal
         are left out until they change.
+    answered_at
+        Returns the monotonic time of the store's newest answer to any call
+        of this process, in seconds.
     era
         Returns the era of the store, which rises when it is restored.
     batch_window_s
@@ -130,6 +134,7 @@
         on_update: Callable[[dict], None],
         keep_lapsed: bool = False,
         batch_window_s: float = 0.0,
+        answered_at: Callable[[], float] = lambda: float("-inf"),
         era: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -141,6 +146,7 @@
         self.on_update = on_update
         self.keep_lapsed = keep_lapsed
         self.batch_window_s = batch_window_s
+        self.answered_at = answered_at
         self.era = era
         self.clock = clock
         self.watch_wait_s = WATCH_WAIT_S
@@ -377,7 +383,7 @@
         now = self.clock()
         if self.state is StoreState.IN_SYNC:
             self.unanswered_since = first_unanswered_at(
-                began_at=self.call_began_at,
+                began_at=max(self.call_began_at, self.answered_at()),
                 due_at=self.answer_due_at,
                 failed_at=now,
                 timed_out=isinstance(error, errors.PlatformTimeoutError),
--- a/zinniadyke/platform/_follow.py
+++ b/zinniadyke/platform/_follow.py
@@ -278,6 +278,7 @@
         wait_for_changes=wait_for_changes,
         history_gone=_store.HistoryGoneError,
         on_update=on_update,
+        answered_at=lambda: store.answered_at,
         era=lambda: store.era,
         **options,
     )
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import http
 import logging
+import time
 from urllib import parse
 
 import msgspec
@@ -133,6 +134,8 @@
     ----------
     era
         Newest era that an answer stated; ``NO_ERA`` before the first.
+    answered_at
+        Monotonic time of the newest answer that was no refusal, in seconds.
     on_restored
         Functions that are called with the old and the new era when the
         store has been restored.
@@ -145,6 +148,7 @@
         self.timeout_s = timeout_s
         self.era = _revision.NO_ERA
         self.era_known = False
+        self.answered_at = float("-inf")
         self.on_restored: list[Callable[[int, int], None]] = []
         host, _, port = address.rpartition(":")
         self.pool = urllib3.HTTPConnectionPool(
@@ -387,6 +391,7 @@
             raise errors.PlatformError(
                 f"{method} {path}: status {answer.status}"
             )
+        self.answered_at = time.monotonic()
         return answer
 
 
