An answer that ends within its head is no answer

Cause: http.client reads a head up to an empty line or to the end of the connection, and urllib3 does not look: without the rest of the head, the body has no length and ends with the connection. Change: pools of http_pools, used for engines, model servers, peers, origin and store, refuse a head whose last line is not whole or that ends without an empty one.

--- a/tests/agent/test_engine_client.py
+++ b/tests/agent/test_engine_client.py
@@ -4,6 +4,9 @@
 import pytest
 
 from zinniadyke import engine
+from zinniadyke import errors
+from zinniadyke import fakes
+from zinniadyke import ids
 
 LATE_S = 0.05
 ANSWER = b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%b"
@@ -53,3 +56,42 @@
         made.close()
     server.stop()
     assert answers == [(status, b"full"), (200, b"ran")]
+
+
+def cut_off(head, missing):
+    """Return a client of an engine that closes in the middle of a head."""
+    server = fakes.ScriptedTarget(
+        script=lambda exchange: exchange.send(head[: len(head) - missing])
+    )
+    return server, engine.EngineClient(url=f"http://{server.address}")
+
+
+# MIXED, ORDER: such an answer became a 200 with an empty or short body.
+@pytest.mark.parametrize("missing", range(1, 65))
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+        b"Content-Length: 1234\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+def test_answer_whose_head_is_cut_off_is_none(head, missing):
+    server, client = cut_off(head, missing)
+    with pytest.raises(errors.EngineError) as caught:
+        made = client.run("POST", "/x", {}, b"text", 5.0)
+        b"".join(made.parts)
+    server.stop()
+    assert caught.value.code is errors.ResultCode.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("missing", [1, 2, 4, 10])
+def test_order_whose_answer_is_cut_off_has_not_succeeded(missing):
+    server, client = cut_off(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", missing
+    )
+    with pytest.raises(errors.EngineError):
+        client.load("m/1", [b"text"], 4, ids.FencingNumber(1))
+    server.stop()
--- a/zinniadyke/engine/_client.py
+++ b/zinniadyke/engine/_client.py
@@ -12,6 +12,7 @@
 
 from zinniadyke import decoding
 from zinniadyke import errors
+from zinniadyke import http_pools
 from zinniadyke import ids
 
 STATE_TIMEOUT_S = 2.0
@@ -191,7 +192,7 @@
 
 
 def _make_pool() -> urllib3.PoolManager:
-    return urllib3.PoolManager(maxsize=1, retries=False)
+    return http_pools.pool_manager(maxsize=1)
 
 
 def _read_body(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
--- /dev/null
+++ b/zinniadyke/http_pools.py
@@ -0,0 +1,103 @@
+"""urllib3 pools that take no answer that was cut off for a whole one.
+
+``http.client`` reads the head of an answer up to an empty line or to the end
+of the connection. A head that ends early may lack the length of the body,
+and would then stand for an answer with an empty body.
+"""
+
+import http.client
+
+import urllib3
+from urllib3 import connection
+
+
+class CutOffHeadError(http.client.HTTPException):
+    """The connection ended within the head of an answer."""
+
+
+class _HeadFile:
+    """File of a connection from which only whole lines are read.
+
+    Attributes
+    ----------
+    begun
+        Whether a line was read.
+    """
+
+    def __init__(self, file) -> None:
+        self.file = file
+        self.begun = False
+
+    def readline(self, limit: int) -> bytes:
+        """Return a line.
+
+        Raises
+        ------
+        CutOffHeadError
+            The connection ended within the line, or before it although the
+            head had begun.
+        """
+        line = self.file.readline(limit)
+        cut_off = not line.endswith(b"\n") and len(line) < limit
+        if cut_off and (line or self.begun):
+            raise CutOffHeadError("the connection ended within the head")
+        self.begun = True
+        return line
+
+    def close(self) -> None:
+        self.file.close()
+
+
+class _Response(http.client.HTTPResponse):
+    """Answer whose head must be whole."""
+
+    def begin(self) -> None:
+        file = self.fp
+        self.fp = _HeadFile(file)
+        try:
+            super().begin()
+        finally:
+            # It is None if the connection was closed.
+            if self.fp is not None:
+                self.fp = file
+
+
+class _Connection(connection.HTTPConnection):
+    """Connection whose answers must have a whole head."""
+
+    response_class = _Response
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    """Pool of connections to one server."""
+
+    ConnectionCls = _Connection
+
+
+def connection_pool(
+    host: str, port: int, *, maxsize: int
+) -> urllib3.HTTPConnectionPool:
+    """Return a pool of connections to one server, which repeats nothing.
+
+    Parameters
+    ----------
+    maxsize
+        Connections that are kept.
+    """
+    return _ConnectionPool(host, port, maxsize=maxsize, retries=False)
+
+
+def pool_manager(*, maxsize: int) -> urllib3.PoolManager:
+    """Return pools for any server, which repeat nothing.
+
+    Parameters
+    ----------
+    maxsize
+        Connections that are kept for each server.
+    """
+    manager = urllib3.PoolManager(maxsize=maxsize, retries=False)
+    manager.pool_classes_by_scheme = {
+        **manager.pool_classes_by_scheme,
+        "http": _ConnectionPool,
+    }
+    return manager
--- a/zinniadyke/operators/_client.py
+++ b/zinniadyke/operators/_client.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from zinniadyke import errors
+from zinniadyke import http_pools
 
 TIMEOUT_S = 60.0
 ENTRY_VARIABLE = "ZINNIADYKE_ENTRY"
@@ -29,7 +30,7 @@
         """Create the connection pool; connects on first use."""
         self.url = url.rstrip("/")
         self.token = token
-        self.pool = urllib3.PoolManager(retries=False)
+        self.pool = http_pools.pool_manager(maxsize=1)
 
     def send(
         self,
--- a/zinniadyke/origin/_client.py
+++ b/zinniadyke/origin/_client.py
@@ -4,6 +4,7 @@
 import urllib3
 
 from zinniadyke import errors
+from zinniadyke import http_pools
 
 READ_TIMEOUT_S = 60.0
 MAX_CONNECTIONS = 16
@@ -28,7 +29,7 @@
     def __init__(self, *, read_timeout_s: float = READ_TIMEOUT_S) -> None:
         """Create the connection pool, which connects on first use."""
         self.read_timeout_s = read_timeout_s
-        self.pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+        self.pool = http_pools.pool_manager(maxsize=MAX_CONNECTIONS)
 
     def read(
         self,
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -12,6 +12,7 @@
 from zinniadyke import bounded_http
 from zinniadyke import decoding
 from zinniadyke import errors
+from zinniadyke import http_pools
 from zinniadyke.platform import _json_text
 from zinniadyke.platform import _revision
 from zinniadyke import telemetry
@@ -151,8 +152,8 @@
         self.answered_at = float("-inf")
         self.on_restored: list[Callable[[int, int], None]] = []
         host, _, port = address.rpartition(":")
-        self.pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=MAX_CONNECTIONS, retries=False
+        self.pool = http_pools.connection_pool(
+            host, int(port), maxsize=MAX_CONNECTIONS
         )
 
     def get_object(self, kind: str, name: str) -> StoreObject | None:
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -14,6 +14,7 @@
 from zinniadyke import bounded_http
 from zinniadyke import decoding
 from zinniadyke import errors
+from zinniadyke import http_pools
 from zinniadyke import ids
 from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _decode_target
@@ -468,6 +469,4 @@
     address: str, connections: int
 ) -> urllib3.HTTPConnectionPool:
     host, _, port = address.rpartition(":")
-    return urllib3.HTTPConnectionPool(
-        host, int(port), maxsize=connections, retries=False
-    )
+    return http_pools.connection_pool(host, int(port), maxsize=connections)
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -9,6 +9,7 @@
 
 from zinniadyke import bounded_http
 from zinniadyke import decoding
+from zinniadyke import http_pools
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pieces
 
@@ -114,8 +115,8 @@
     ) -> bytes | None:
         pool = self.pools.get(host_ip)
         if pool is None:
-            pool = self.pools[host_ip] = urllib3.HTTPConnectionPool(
-                host_ip, self.port, maxsize=CONNECTIONS_PER_HOST, retries=False
+            pool = self.pools[host_ip] = http_pools.connection_pool(
+                host_ip, self.port, maxsize=CONNECTIONS_PER_HOST
             )
         try:
             answer = bounded_http.request(
