An answer that ends by a reset is incomplete

Cause: eventlet's sockets return no bytes after a reset, as after an orderly close, and the end of the connection is the end of such a body. The platform's path had its own way of reading for that reason; the pools of urllib3 had not. Change: that way of reading is now in green_sockets, and files of the pools' connections use it too. Result: test_answer_that_ends_by_a_reset_is_incomplete failed before (200, "beg") and passes; an orderly end still completes an answer, and a silent engine times out.

--- a/tests/agent/test_engine_client.py
+++ b/tests/agent/test_engine_client.py
@@ -95,3 +95,42 @@
     with pytest.raises(errors.EngineError):
         client.load("m/1", [b"text"], 4, ids.FencingNumber(1))
     server.stop()
+
+
+# MIXED: a body ended by a reset was taken for a whole, short one.
+def test_answer_that_ends_by_a_reset_is_incomplete():
+    def script(exchange):
+        exchange.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbeg"
+        )
+        eventlet.sleep(LATE_S)
+        exchange.reset()
+
+    server = fakes.ScriptedTarget(script=script)
+    client = engine.EngineClient(url=f"http://{server.address}")
+    made = client.run("POST", "/x", {}, b"text", 5.0)
+    received = []
+    with pytest.raises(errors.EngineError) as caught:
+        received.extend(made.parts)
+    server.stop()
+    assert caught.value.code is errors.ResultCode.STREAM_BROKEN
+
+
+def test_answer_without_a_length_may_end_with_its_connection():
+    server = fakes.ScriptedTarget(
+        script=lambda exchange: exchange.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole"
+        )
+    )
+    client = engine.EngineClient(url=f"http://{server.address}")
+    made = client.run("POST", "/x", {}, b"text", 5.0)
+    assert b"".join(made.parts) == b"whole"
+    server.stop()
+
+
+def test_silent_engine_is_noticed_in_time():
+    server = fakes.ScriptedTarget(script=lambda exchange: eventlet.sleep(2.0))
+    client = engine.EngineClient(url=f"http://{server.address}")
+    with pytest.raises(errors.EngineError, match="timed out"):
+        client.run("POST", "/x", {}, b"text", 0.1)
+    server.stop()
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -7,18 +7,19 @@
 
 import collections
 import enum
+import functools
 import logging
 import socket
 import time
 
 import eventlet
 from eventlet.green import socket as green_socket
-from eventlet import hubs
 import httptools
 
 from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _send_progress
+from zinniadyke import green_sockets
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -268,7 +269,11 @@
 
     def _receive(self, timeout_s: float) -> None:
         try:
-            data = _receive(self.sock, max(timeout_s, 0.001))
+            data = green_sockets.receive(
+                self.sock,
+                functools.partial(self.sock.fd.recv, READ_BYTES),
+                max(timeout_s, 0.001),
+            )
         except TimeoutError as error:
             raise SilentTargetError(f"receive: {error}")
         except OSError as error:
@@ -339,21 +344,3 @@
     telemetry.count(telemetry.Metric.ANSWERS_OVER_LIMIT, label=what)
     LOG.warning("answer over a limit", extra={"what": what, "from": address})
     return BrokenResponseError(f"{what} over the limit")
-
-
-def _receive(sock, timeout_s: float) -> bytes:
-    """Return received bytes; empty only after an orderly close.
-
-    eventlet's own ``recv`` also returns empty bytes after a reset, so a
-    truncated response without a length would look complete.
-    """
-    while True:
-        try:
-            return sock.fd.recv(READ_BYTES)
-        except BlockingIOError:
-            hubs.trampoline(
-                sock.fd,
-                read=True,
-                timeout=timeout_s,
-                timeout_exc=TimeoutError("no data in time"),
-            )
--- a/zinniadyke/http_pools.py
+++ b/zinniadyke/http_pools.py
@@ -6,10 +6,13 @@
 """
 
 import http.client
+import socket
 
 import urllib3
 from urllib3 import connection
 
+from zinniadyke import green_sockets
+
 
 class CutOffHeadError(http.client.HTTPException):
     """The connection ended within the head of an answer."""
@@ -63,10 +66,15 @@
 
 
 class _Connection(connection.HTTPConnection):
-    """Connection whose answers must have a whole head."""
+    """Connection whose answers must have a whole head, and no reset."""
 
     response_class = _Response
 
+    def _new_conn(self) -> socket.socket:
+        sock = super()._new_conn()
+        green_sockets.raise_resets(sock)
+        return sock
+
 
 class _ConnectionPool(urllib3.HTTPConnectionPool):
     """Pool of connections to one server."""
