A stopping entry begins only what ends before it does

Cause: what was taken until SHUTDOWN_ACCEPT_S was not compared with the time that was left: 3 s and a timeout of 12 s against 7.5 s. Change: _stop.may_begin, a plain function. A request that may run only once begins if its deadline or its route's timeout ends in time, one that may be repeated or resumed if twice the longest recent time of its route fits. Others are refused as not run (3005, Retry-After), with a log line of the figures. Weighed against it: refusing all from SIGTERM on, which turns away short requests that the load balancer still sends here, and a time per route in the settings, which operators would have to keep true. Result: test_request_that_might_outlast_the_grace_is_refused_as_not_run (two routes) and test_usual_time_of_a_repeatable_request_decides failed before and pass; the other stop tests and tests/gateway/test_gateway.py pass.

--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -10,6 +10,7 @@
 
 from zinniadyke import directory
 from zinniadyke import errors
+from zinniadyke.gateway import _attempt
 from zinniadyke.gateway import _call
 from zinniadyke.gateway import _call_builder
 from zinniadyke.gateway import _caller_connection
@@ -24,6 +25,7 @@
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _returning_callers
 from zinniadyke.gateway import _standstill
+from zinniadyke.gateway import _stop
 from zinniadyke.gateway import _target_table
 from zinniadyke import listening
 from zinniadyke import platform
@@ -39,8 +41,7 @@
 # The load balancer removes a host after two failed checks, one per second;
 # until then it may open new connections.
 BALANCER_REMOVAL_S = 2.5
-# Requests later than this after SIGTERM are rejected, because the longest ones
-# would not end within the grace period.
+# Callers have been told by then to open their next connection elsewhere.
 SHUTDOWN_ACCEPT_S = 3.0
 # Part of the grace period reserved for closing connections.
 EXIT_MARGIN_S = 0.5
@@ -171,6 +172,7 @@
         self.tasks: list[eventlet.greenthread.GreenThread] = []
         self.callers: set[_caller_connection.CallerConnection] = set()
         self.stopping_since: float | None = None
+        self.recent_times = _stop.RecentTimes()
         self.requests_socket = listening.listen(loaded.listen.requests)
         self.ready_socket = listening.listen(loaded.listen.ready)
 
@@ -212,7 +214,7 @@
     def shut_down(self) -> bool:
         """Drain connections; return whether all ended in the grace period."""
         self.stopping_since = started = time.monotonic()
-        end = started + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        end = self._stops_at()
         for caller in self.callers:
             caller.close_after_response = True
         while time.monotonic() < end:
@@ -292,6 +294,7 @@
             call = _call_builder.build_call(
                 request, self.view.configuration, self.wait_estimator
             )
+            self._check_can_end(call)
             if self.forwarder.has_variable_capacity(call.service):
                 self.returning_callers.recognize(call)
             caller.writer.stall_s = _caller_writer.stall_s(
@@ -299,6 +302,9 @@
             )
             self.forwarder.serve(call, caller)
             caller.flush()
+            self.recent_times.record(
+                call.route, time.monotonic() - request.arrived_at
+            )
         except errors.RequestError as error:
             code = error.code
             self._record_refusal(call, error)
@@ -342,6 +348,41 @@
                 retry_after_s=STOPPING_RETRY_S,
             )
 
+    def _check_can_end(self, call: _call.Call) -> None:
+        """Refuse a request that might be cut off by the end of a stop."""
+        if self.stopping_since is None:
+            return
+        left_s = self._stops_at() - time.monotonic()
+        latest_end_s = call.remaining_s + _attempt.RESPONSE_GRACE_S
+        expected_s = self.recent_times.longest_s(call.route)
+        if _stop.may_begin(
+            left_s=left_s,
+            latest_end_s=latest_end_s,
+            expected_s=expected_s,
+            retry_mode=call.route.retry_mode,
+        ):
+            return
+        LOG.info(
+            "request would outlast the stop",
+            extra={
+                "request": call.id,
+                "route": call.route.name,
+                "left_ms": int(left_s * MS_PER_S),
+                "latest_end_ms": int(latest_end_s * MS_PER_S),
+                "expected_ms": int(expected_s * MS_PER_S),
+            },
+        )
+        raise errors.RequestError(
+            code=errors.ResultCode.SHUTTING_DOWN,
+            retry_after_s=STOPPING_RETRY_S,
+        )
+
+    def _stops_at(self) -> float:
+        """Return the monotonic time by which a stop ends all requests."""
+        return (
+            self.stopping_since + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        )
+
     def _send_error(
         self,
         request: _request.CallerRequest,
