What still runs at the end of a stop is answered, not cut off

Cause: the process ended with its handlers still waiting for targets. Change: half a second before the end of the grace, requests without any part of an answer get 504 (4002, the request may have run), streams a break that is not a complete end, and answers that callers still read are left to them. A line with their number, and the counter stop_interrupted.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,6 +7,7 @@
 from zinniadyke.directory import RetryMode
 from zinniadyke.gateway import _stop
 
+EVENT_STREAM = "text/event-stream"
 LONG_MS = 30_000
 SPEC = deploy.configuration(
     routes=[
@@ -101,3 +102,32 @@
         assert ask(system, "/again/x")[0] == 503
         assert len(system.targets[0].seen) == seen
         stop.kill()
+
+
+# LOST: what still ran at the end of the grace ended without an answer.
+def test_request_that_runs_at_the_end_is_answered_as_unknown():
+    with deploy.deployment(
+        lambda e: eventlet.sleep(60.0), spec=SPEC, grace_s=1.5
+    ) as system:
+        asked = eventlet.spawn(ask, system, "/long/x")
+        assert deploy.wait_until(lambda: system.targets[0].seen)
+        assert system.gateway.shut_down() is False
+        status, headers, _, complete = asked.wait()
+        assert (status, headers["Zinniadyke-Code"]) == (504, "4002")
+        assert complete
+
+
+def test_stream_that_runs_at_the_end_is_broken_off():
+    def work(exchange):
+        exchange.head(
+            framing="Transfer-Encoding: chunked", Content_Type=EVENT_STREAM
+        )
+        exchange.chunk(b"id: 1\ndata: a\n\n")
+        eventlet.sleep(60.0)
+
+    with deploy.deployment(work, spec=SPEC, grace_s=1.5) as system:
+        asked = eventlet.spawn(ask, system, "/stream/x")
+        assert deploy.wait_until(lambda: system.targets[0].seen)
+        system.gateway.shut_down()
+        status, _, body, complete = asked.wait()
+        assert (status, body, complete) == (200, b"id: 1\ndata: a\n\n", False)
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -12,6 +12,7 @@
 import greenlet
 
 from zinniadyke import directory
+from zinniadyke import errors
 from zinniadyke.gateway import _caller_writer
 from zinniadyke.gateway import _memory_budget
 from zinniadyke.gateway import _request
@@ -64,6 +65,8 @@
         Whether the connection ends after the current response.
     head_sent
         Whether the head of the current response was sent.
+    streams
+        Whether a streamed response has begun and not ended.
     chunked
         Whether the current response uses chunked framing.
     ends_by_close
@@ -98,6 +101,7 @@
         self.disconnected = False
         self.close_after_response = False
         self.head_sent = False
+        self.streams = False
         self.chunked = False
         self.ends_by_close = False
         self.resets = False
@@ -141,6 +145,32 @@
             self.disconnected = True
             self._shut_down_socket(socket.SHUT_RDWR)
 
+    def interrupt(self, error: errors.RequestError) -> bool:
+        """End the current response; return whether there was one to end.
+
+        It becomes the error if nothing was sent yet, and a break if a stream
+        has begun. A complete response that the caller still reads is left.
+        """
+        if not self.responding:
+            return False
+        if not self.head_sent:
+            hubs.get_hub().schedule_call_global(0, self._interrupt, error)
+            return True
+        if self.streams:
+            eventlet.spawn_n(self._break_off)
+            return True
+        return False
+
+    def _interrupt(self, error: errors.RequestError) -> None:
+        if self.responding and not self.head_sent:
+            self.handler_greenlet.throw(error)
+
+    def _break_off(self) -> None:
+        try:
+            self.abort()
+        except CallerDisconnectedError as left:
+            LOG.debug("caller has left", extra={"reason": str(left)})
+
     def send_response(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -170,6 +200,7 @@
     ) -> None:
         """Start a response whose parts follow one by one."""
         self.head_sent = True
+        self.streams = True
         self.chunked = chunked
         if not chunked:
             self.ends_by_close = True
@@ -193,6 +224,7 @@
 
     def end_stream(self) -> None:
         """Mark a streamed response as complete."""
+        self.streams = False
         if self.chunked:
             self._send(b"0\r\n\r\n")
 
@@ -238,6 +270,7 @@
 
     def _respond(self, request) -> None:
         self.head_sent = False
+        self.streams = False
         self.chunked = False
         self.ends_by_close = False
         if isinstance(request, _request.RejectedRequest):
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -45,6 +45,9 @@
 SHUTDOWN_ACCEPT_S = 3.0
 # Part of the grace period reserved for closing connections.
 EXIT_MARGIN_S = 0.5
+# Part of that time in which callers take the answers to interrupted requests.
+INTERRUPT_S = 0.3
+INTERRUPT_CHECK_S = 0.01
 # Requests that have no slot yet this long before the end are refused: they
 # would be cut off if they began.
 REFUSE_WAITING_S = 2.0
@@ -229,7 +232,29 @@
             if time.monotonic() > end - REFUSE_WAITING_S:
                 self.forwarder.refuse_waiting()
             eventlet.sleep(STOP_CHECK_S)
-        return not self.callers
+        ended = not self.callers
+        if not ended:
+            self._interrupt_requests()
+        return ended
+
+    def _interrupt_requests(self) -> None:
+        """Answer or break off what still runs, just before the end."""
+        error = errors.RequestError(
+            "the host is shutting down; the request may have run",
+            code=errors.ResultCode.OUTCOME_UNKNOWN,
+        )
+        interrupted = [c for c in self.callers if c.interrupt(error)]
+        telemetry.count(telemetry.Metric.STOP_INTERRUPTED, by=len(interrupted))
+        LOG.warning(
+            "requests interrupted by the stop",
+            extra={
+                "requests": len(interrupted),
+                "connections": len(self.callers),
+            },
+        )
+        with eventlet.Timeout(INTERRUPT_S, False):
+            while any(caller in self.callers for caller in interrupted):
+                eventlet.sleep(INTERRUPT_CHECK_S)
 
     def close(self) -> None:
         """Stop all tasks and close the sockets, without draining."""
