A stopping entry closes no connection on which a request is on its way

Cause: a new connection counted as idle, bytes that the kernel held were not looked for, and connections were ended before listening was. Change: listening ends first, after what is established in its backlog was taken. A connection is idle after a second without a request, also since it was accepted, and without bytes that are unread. Its writing ends first, and what still crosses is read and dropped, not run (counter stop_closed, idle or crossed). The entry ends when no connection is left.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,7 @@
 """What callers of an entry get while it is stopped."""
 
+import time
+
 import eventlet
 import pytest
 
@@ -23,6 +25,11 @@
         "idle_timeout_ms": 60_000,
     },
 )
+REQUEST = (
+    b"POST /short/x HTTP/1.1\r\nHost: h.example\r\n"
+    b"X-Zinniadyke-Request-Id: r1\r\nX-Zinniadyke-Key: %b\r\n"
+    b"X-Zinniadyke-Deadline-Ms: 700\r\nContent-Length: 0\r\n\r\n"
+) % deploy.KEY.encode()
 
 
 @pytest.mark.parametrize(
@@ -131,3 +138,110 @@
         system.gateway.shut_down()
         status, _, body, complete = asked.wait()
         assert (status, body, complete) == (200, b"id: 1\ndata: a\n\n", False)
+
+
+def answer_to(sock):
+    """Return what arrives until the connection ends."""
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    return data
+
+
+# A connection whose first request was on its way was closed as idle.
+def test_new_connection_is_not_taken_for_an_idle_one():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        stop = begin_stop(system)
+        eventlet.sleep(2.4)
+        sock = system.connect()
+        eventlet.sleep(0.7)
+        sock.sendall(REQUEST)
+        # Sent later than what may begin during a stop.
+        assert answer_to(sock).startswith(b"HTTP/1.1 503 ")
+        sock.close()
+        stop.kill()
+
+
+def test_slow_sender_is_answered_during_a_stop():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        stop = begin_stop(system)
+        eventlet.sleep(2.0)
+        sock = system.connect()
+        for byte in range(0, len(REQUEST), 10):
+            sock.sendall(REQUEST[byte : byte + 10])
+            eventlet.sleep(0.1)
+        assert answer_to(sock).startswith(b"HTTP/1.1 503 ")
+        sock.close()
+        stop.kill()
+
+
+def test_process_without_requests_ends_well_before_the_grace():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        idle = system.connect()
+        eventlet.sleep(0.05)
+        started = time.monotonic()
+        closed = eventlet.spawn(answer_to, idle)
+        assert system.gateway.shut_down() is True
+        assert time.monotonic() - started < 5.0
+        # An orderly end, not a reset.
+        assert closed.wait() == b""
+        with pytest.raises(ConnectionRefusedError):
+            system.connect()
+
+
+def connect_unaccepted(system):
+    """Return a connection that the gateway has had no time to accept."""
+    original = eventlet.patcher.original("socket")
+    host, _, port = system.gateway.settings.listen.requests.rpartition(":")
+    sock = original.create_connection((host, int(port)), timeout=5.0)
+    sock.sendall(REQUEST)
+    return sock
+
+
+# The kernel resets connections that nobody has accepted when listening ends.
+def test_connections_in_the_backlog_are_served_when_listening_ends():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        waiting = [connect_unaccepted(system) for _ in range(5)]
+        system.gateway._stop_listening()
+        eventlet.sleep(0.3)
+        for sock in waiting:
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+            sock.close()
+
+
+def test_request_that_crosses_the_close_of_an_idle_connection_is_not_run():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        sock = system.connect()
+        assert deploy.wait_until(lambda: system.gateway.callers)
+        (caller,) = system.gateway.callers
+        caller.close_if_idle(0.0)
+        eventlet.sleep(0.05)
+        sock.sendall(REQUEST)
+        assert answer_to(sock) == b""
+        sock.close()
+        assert deploy.wait_until(lambda: not system.gateway.callers)
+        assert system.targets[0].seen == []
+
+
+def test_request_that_has_arrived_keeps_its_connection_open():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
+    ) as system:
+        sock = system.connect()
+        assert deploy.wait_until(lambda: system.gateway.callers)
+        (caller,) = system.gateway.callers
+        sock.sendall(REQUEST)
+        # Nothing has read it yet.
+        caller.close_if_idle(0.0)
+        assert answer_to(sock).startswith(b"HTTP/1.1 200 ")
+        sock.close()
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -18,6 +18,7 @@
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _request_parser
 from zinniadyke.gateway import _send_progress
+from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -33,6 +34,8 @@
 # Lower bound of read timeouts, so that pending bytes are read even if the
 # limit has passed.
 MIN_TIMEOUT_S = 0.001
+# Among requests: the connection ends if it is still idle.
+CLOSE_IF_IDLE = object()
 
 
 class CallerDisconnectedError(Exception):
@@ -73,6 +76,8 @@
         Whether only the connection's end marks that of the current response.
     resets
         Whether the connection ends by a reset.
+    idle_since
+        Monotonic time of the last response, or of the connection's begin.
     """
 
     def __init__(
@@ -106,24 +111,40 @@
         self.ends_by_close = False
         self.resets = False
         self.handler_greenlet: greenlet.greenlet | None = None
+        self.idle_since = time.monotonic()
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
         self.handler_greenlet = greenlet.getcurrent()
         reader = eventlet.spawn(self._read)
+        closes_idle = False
         try:
-            while not self.close_after_response:
+            while True:
                 request = self.requests.get()
                 if request is None:
                     return
+                if request is CLOSE_IF_IDLE:
+                    if self.idle:
+                        closes_idle = True
+                        break
+                    continue
                 self.responding = True
                 try:
                     self._respond(request)
                 finally:
                     self.responding = False
+                    self.idle_since = time.monotonic()
                     self._give_back(request)
+                if self.close_after_response:
+                    break
             if not self.resets:
                 self._linger(reader)
+            if closes_idle:
+                crossed = not self.requests.empty()
+                telemetry.count(
+                    telemetry.Metric.STOP_CLOSED,
+                    label="crossed" if crossed else "idle",
+                )
         except CallerDisconnectedError:
             pass
         except OSError as error:
@@ -134,16 +155,38 @@
             self.memory.give_back(self.memory.held)
             self.sock.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection now if idle, else after the response."""
-        self.close_after_response = True
-        if (
+    @property
+    def idle(self) -> bool:
+        """Whether no request is served, waits or has arrived in part."""
+        return (
             not self.responding
             and self.requests.empty()
             and self.parser.reading_since is None
-        ):
-            self.disconnected = True
-            self._shut_down_socket(socket.SHUT_RDWR)
+            and not self._has_unread()
+        )
+
+    def close_if_idle(self, idle_s: float) -> None:
+        """Close the connection after its response, or if it is idle by now.
+
+        Writing ends first, so that the caller sees an orderly end.
+
+        Parameters
+        ----------
+        idle_s
+            Time without a request, also since it was accepted, after which
+            it is taken for idle, in seconds. The first request on a new
+            connection may be on its way.
+        """
+        self.close_after_response = True
+        if self.idle and time.monotonic() - self.idle_since >= idle_s:
+            self.requests.put(CLOSE_IF_IDLE)
+
+    def _has_unread(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        try:
+            return bool(self.sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def interrupt(self, error: errors.RequestError) -> bool:
         """End the current response; return whether there was one to end.
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -53,6 +53,9 @@
 REFUSE_WAITING_S = 2.0
 STOPPING_RETRY_S = 0.05
 STOP_CHECK_S = 0.05
+# Time without a request after which a stopping entry closes a connection. The
+# request of a caller that has just connected is on its way for less.
+IDLE_S = 1.0
 ACCEPT_RETRY_S = 0.05
 NOT_READY_RETRY_S = 0.3
 MS_PER_S = 1000.0
@@ -173,6 +176,7 @@
             reports.RefusedCallers: self.returning_callers.handle_refused,
         }
         self.tasks: list[eventlet.greenthread.GreenThread] = []
+        self.accept_task: eventlet.greenthread.GreenThread | None = None
         self.callers: set[_caller_connection.CallerConnection] = set()
         self.stopping_since: float | None = None
         self.recent_times = _stop.RecentTimes()
@@ -209,10 +213,11 @@
         """Start the background tasks, which run until :meth:`close`."""
         tasks = [follower.run for follower in self.followers]
         tasks += [self.load_listener.subscribe, self.load_listener.receive]
-        tasks += [self._serve_ready, self._accept, self._report_memory]
+        tasks += [self._serve_ready, self._report_memory]
         if self.evacuations is not None:
             tasks.append(self.standstill_guard.run)
         self.tasks = [eventlet.spawn(task) for task in tasks]
+        self.accept_task = eventlet.spawn(self._accept)
 
     def shut_down(self) -> bool:
         """Drain connections; return whether all ended in the grace period."""
@@ -225,8 +230,9 @@
                 time.monotonic() > started + BALANCER_REMOVAL_S
             )
             if removed_from_balancer:
+                self._stop_listening()
                 for caller in list(self.callers):
-                    caller.close_if_idle()
+                    caller.close_if_idle(IDLE_S)
             if removed_from_balancer and not self.callers:
                 break
             if time.monotonic() > end - REFUSE_WAITING_S:
@@ -256,10 +262,24 @@
             while any(caller in self.callers for caller in interrupted):
                 eventlet.sleep(INTERRUPT_CHECK_S)
 
+    def _stop_listening(self) -> None:
+        """Take the connections that are established by now, and no more."""
+        if self.accept_task is None:
+            return
+        self.accept_task.kill()
+        self.accept_task = None
+        while sock := listening.accept_now(self.requests_socket):
+            eventlet.spawn_n(self._serve_caller, sock)
+        self.requests_socket.close()
+        # They count as callers once they are served.
+        eventlet.sleep(0)
+
     def close(self) -> None:
         """Stop all tasks and close the sockets, without draining."""
         for task in self.tasks:
             task.kill()
+        if self.accept_task is not None:
+            self.accept_task.kill()
         for sock in (self.requests_socket, self.ready_socket):
             sock.close()
         self.load_listener.sock.close()
--- a/zinniadyke/listening.py
+++ b/zinniadyke/listening.py
@@ -4,6 +4,8 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+from eventlet import greenio
+from eventlet import hubs
 
 # A host that answers does so within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
@@ -26,6 +28,16 @@
     return listener
 
 
+def accept_now(listening: greenio.GreenSocket) -> socket.socket | None:
+    """Return a connection that is established by now; None if none is."""
+    try:
+        sock, _ = listening.fd.accept()
+    except OSError:
+        return None
+    hubs.notify_opened(sock.fileno())
+    return greenio.GreenSocket(sock)
+
+
 def address_of(listening: socket.socket) -> str:
     """Return the ``ip:port`` that a socket listens on."""
     host, port = listening.getsockname()
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -62,6 +62,8 @@
     DEMAND = "demand"
     # Slots that requests of a route leave free for more urgent ones.
     RESERVED_SLOTS = "reserved_slots"
+    # Connections that a stop ended without an answer before.
+    STOP_CLOSED = "stop_closed"
     # Requests that still ran just before the end of a stop.
     STOP_INTERRUPTED = "stop_interrupted"
     QUEUE_LENGTH = "queue_length"
