bench restart: what callers get while entries are restarted

Cause: what a planned stop costs callers was measured by hand only. Change: `zinniadyke bench restart` starts entries as processes, a store and targets, lets callers go on at their entry's address on kept connections (they ignore Retry-After), and stops and starts one entry after the other.

--- a/zinniadyke/bench/__init__.py
+++ b/zinniadyke/bench/__init__.py
@@ -15,6 +15,11 @@
 from zinniadyke.bench._requests import RequestsOptions
 from zinniadyke.bench._requests import RequestsResult
 from zinniadyke.bench._requests import run_requests
+from zinniadyke.bench._restart import plot_restart
+from zinniadyke.bench._restart import restart_table
+from zinniadyke.bench._restart import RestartOptions
+from zinniadyke.bench._restart import RestartResult
+from zinniadyke.bench._restart import run_restart
 from zinniadyke.bench._rollout import fluid_bound_s
 from zinniadyke.bench._rollout import RolloutOptions
 from zinniadyke.bench._rollout import RolloutResult
@@ -35,15 +40,20 @@
     "PlacementResult",
     "RequestsOptions",
     "RequestsResult",
+    "RestartOptions",
+    "RestartResult",
     "RolloutOptions",
     "RolloutResult",
     "describe_unmet_bounds",
     "fluid_bound_s",
+    "plot_restart",
+    "restart_table",
     "run_ceilings",
     "run_classes",
     "run_overload",
     "run_placement",
     "run_requests",
+    "run_restart",
     "run_rollout",
     "run_shared_hosts",
 ]
--- a/zinniadyke/ui/_application.py
+++ b/zinniadyke/ui/_application.py
@@ -19,6 +19,7 @@
     _bench_command.BenchCeilingsCommand,
     _bench_command.BenchOverloadCommand,
     _bench_command.BenchPlacementCommand,
+    _bench_command.BenchRestartCommand,
     _bench_command.BenchRequestsCommand,
     _bench_command.BenchRolloutCommand,
     _check_command.CheckCommand,
--- a/zinniadyke/ui/_bench_command.py
+++ b/zinniadyke/ui/_bench_command.py
@@ -168,6 +168,48 @@
         return print_result(self, bench.run_classes(options, methods))
 
 
+class BenchRestartCommand(Command):
+    """Restarts entries one by one under load."""
+
+    name = "bench restart"
+    description = "Counts what callers get while entries are restarted."
+    options = [
+        option("entries", None, "Entries.", flag=False, default="3"),
+        option("callers", None, "Callers an entry.", flag=False, default="10"),
+        option("work", None, "A target's ms.", flag=False, default="300"),
+        option("timeout", None, "Route's ms.", flag=False, default="1500"),
+        option("grace", None, "Grace in s.", flag=False, default="8"),
+        option("repeatable", None, "Requests may be repeated."),
+        option("plot", None, "File of a plot.", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        from zinniadyke import bench
+
+        repeatable = self.option("repeatable")
+        result = bench.run_restart(
+            bench.RestartOptions(
+                entries=positive_integer(self, "entries"),
+                callers=positive_integer(self, "callers"),
+                work_ms=positive_integer(self, "work"),
+                timeout_ms=positive_integer(self, "timeout"),
+                grace_s=positive_integer(self, "grace"),
+                kind="idempotent" if repeatable else "non_idempotent",
+            )
+        )
+        for line in bench.restart_table(result):
+            self.line_error(line)
+        if self.option("plot"):
+            try:
+                bench.plot_restart(result, self.option("plot"))
+            except ImportError as error:
+                raise errors.UserError(
+                    f"--plot needs zinniadyke[plot]: {error}"
+                )
+        return print_result(self, result)
+
+
 def overload_options(command: Command):
     """Return the options of the overload and ceilings benchmarks."""
     from zinniadyke import bench
