--- a/zinniadyke/bench/_restart.py
+++ b/zinniadyke/bench/_restart.py
@@ -1,6 +1,7 @@
 """Restarts entries one by one under load and counts what callers get."""
 
 import collections
+from collections.abc import Callable
 import enum
 import pathlib
 import socket
@@ -138,8 +139,14 @@
         ]
 
 
-class _Entry:
-    """One entry process, which can be stopped and started again."""
+class EntryProcess:
+    """One entry process, which can be stopped and started again.
+
+    Attributes
+    ----------
+    stopped_at
+        Monotonic time of the stop signal; None if it was started since.
+    """
 
     def __init__(self, *, name: str, ip: str, port: int, ready: int) -> None:
         self.name = name
@@ -151,6 +158,13 @@
 
     def start(self, folder: pathlib.Path) -> None:
         """Start the process and wait until it is ready."""
+        self.launch(folder)
+        with eventlet.Timeout(START_TIMEOUT_S):
+            while not self._is_ready():
+                eventlet.sleep(POLL_S)
+
+    def launch(self, folder: pathlib.Path) -> None:
+        """Start the process."""
         settings = folder / f"{self.name}.toml"
         with (
             (folder / f"{self.name}.log").open("a") as log,
@@ -165,9 +179,6 @@
                 stderr=err,
             )
         self.stopped_at = None
-        with eventlet.Timeout(START_TIMEOUT_S):
-            while not self._is_ready():
-                eventlet.sleep(POLL_S)
 
     def _is_ready(self) -> bool:
         try:
@@ -195,8 +206,14 @@
             self.process.wait()
 
 
-class _RestartRun:
-    """Entries, targets and callers of one run."""
+class RestartRun:
+    """Entries, targets and callers of one run.
+
+    Attributes
+    ----------
+    passed_on
+        Ids of the requests that have reached a target.
+    """
 
     def __init__(
         self, *, options: RestartOptions, folder: pathlib.Path
@@ -213,7 +230,8 @@
         self.totals: collections.Counter = collections.Counter()
         self.after_stop: collections.Counter = collections.Counter()
         self.by_second: dict[int, collections.Counter] = {}
-        self._fill_store()
+        self.configure(1)
+        self._register_targets()
         self.entries = self._make_entries()
 
     def _work(self, exchange: fakes.Exchange) -> None:
@@ -225,11 +243,12 @@
             # The entry has closed; its caller tells what it got.
             return
 
-    def _fill_store(self) -> None:
+    def configure(self, version: int, path_prefix: str = "/x/") -> None:
+        """Write a configuration whose only route has a path prefix."""
         route = {
             "name": "x",
             "host": HOST,
-            "path_prefix": "/x/",
+            "path_prefix": path_prefix,
             "kind": self.options.kind,
             "timeout_ms": self.options.timeout_ms,
             "target_latency_ms": self.options.timeout_ms,
@@ -245,13 +264,15 @@
             "idle_timeout_ms": 60_000,
         }
         configuration = {
-            "version": 1,
+            "version": version,
             "routes": [route],
             "services": [{"name": SERVICE, "max_connections": 500}],
             "limits": limits,
             "tenants": [],
         }
         self.store.put("config", "main", configuration)
+
+    def _register_targets(self) -> None:
         for number, target in enumerate(self.targets):
             registration = {
                 "service": SERVICE,
@@ -264,12 +285,14 @@
             }
             self.store.put("servers", f"t{number}", registration)
 
-    def _make_entries(self) -> list[_Entry]:
+    def _make_entries(self) -> list[EntryProcess]:
         made = []
         for number in range(self.options.entries):
             ip = f"127.0.0.{FIRST_ENTRY_IP + number}"
             port, ready, internal = _free_ports(ip, 3)
-            entry = _Entry(name=f"e{number}", ip=ip, port=port, ready=ready)
+            entry = EntryProcess(
+                name=f"e{number}", ip=ip, port=port, ready=ready
+            )
             text = SETTINGS.format(
                 name=entry.name,
                 ip=ip,
@@ -283,8 +306,17 @@
             made.append(entry)
         return made
 
-    def run(self) -> RestartResult:
-        """Restart each entry under load."""
+    def run(
+        self, plan: Callable[["RestartRun"], list[float]]
+    ) -> RestartResult:
+        """Carry out a plan under load.
+
+        Parameters
+        ----------
+        plan
+            Stops and starts entries; returns the time that each stop took,
+            in seconds.
+        """
         callers = []
         try:
             for entry in self.entries:
@@ -296,11 +328,8 @@
                 for number in range(self.options.callers)
             ]
             eventlet.sleep(CALM_S)
-            stop_s = []
-            for entry in self.entries:
-                stop_s.append(entry.stop())
-                entry.start(self.folder)
-                eventlet.sleep(CALM_S)
+            stop_s = plan(self)
+            eventlet.sleep(CALM_S)
             self.ended = True
             for caller in callers:
                 caller.wait()
@@ -322,7 +351,7 @@
             ],
         )
 
-    def _call(self, entry: _Entry, name: str) -> None:
+    def _call(self, entry: EntryProcess, name: str) -> None:
         """Ask an entry again and again, on one connection at a time."""
         number = 0
         sock = None
@@ -383,14 +412,28 @@
         counts[got.value] += 1
 
 
-def run_restart(options: RestartOptions) -> RestartResult:
-    """Restart entries one by one under load.
+def roll(run: RestartRun) -> list[float]:
+    """Restart the entries one after the other; return their stops' times."""
+    stop_s = []
+    for entry in run.entries:
+        stop_s.append(entry.stop())
+        entry.start(run.folder)
+        eventlet.sleep(CALM_S)
+    return stop_s
+
+
+def run_restart(
+    options: RestartOptions,
+    plan: Callable[[RestartRun], list[float]] = roll,
+) -> RestartResult:
+    """Restart entries under load, one by one or as planned.
 
     Load: callers on kept connections who go on at an entry's address as long
     as anybody listens there, which is harder than behind a load balancer.
     """
     with tempfile.TemporaryDirectory() as folder:
-        return _RestartRun(options=options, folder=pathlib.Path(folder)).run()
+        run = RestartRun(options=options, folder=pathlib.Path(folder))
+        return run.run(plan)
 
 
 def plot_restart(result: RestartResult, file: str) -> None:
