A stream that a stop breaks off is not logged as one whose caller left

Cause: the line of a request whose stream was broken off just before the end of a stop had code 4009 (the caller left), as the same way ends its handler. Change: code 4003, broken off. Nothing else changes. Result: test_stream_that_runs_at_the_end_is_broken_off, which now looks at the line, failed before (4009) and passes.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,5 +1,6 @@
 """What callers of an entry get while it is stopped."""
 
+import logging
 import time
 
 import eventlet
@@ -124,7 +125,9 @@
         assert complete
 
 
-def test_stream_that_runs_at_the_end_is_broken_off():
+def test_stream_that_runs_at_the_end_is_broken_off(caplog):
+    caplog.set_level(logging.INFO)
+
     def work(exchange):
         exchange.head(
             framing="Transfer-Encoding: chunked", Content_Type=EVENT_STREAM
@@ -138,6 +141,10 @@
         system.gateway.shut_down()
         status, _, body, complete = asked.wait()
         assert (status, body, complete) == (200, b"id: 1\ndata: a\n\n", False)
+        eventlet.sleep(0.05)
+    # Not logged as a caller that has left.
+    (logged,) = [r for r in caplog.records if r.message == "request"]
+    assert logged.code == 4003
 
 
 def answer_to(sock):
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -76,6 +76,8 @@
         Whether only the connection's end marks that of the current response.
     resets
         Whether the connection ends by a reset.
+    broken_off
+        Whether this side has broken off a stream.
     idle_since
         Monotonic time of the last response, or of the connection's begin.
     """
@@ -110,6 +112,7 @@
         self.chunked = False
         self.ends_by_close = False
         self.resets = False
+        self.broken_off = False
         self.handler_greenlet: greenlet.greenlet | None = None
         self.idle_since = time.monotonic()
 
@@ -200,6 +203,7 @@
             hubs.get_hub().schedule_call_global(0, self._interrupt, error)
             return True
         if self.streams:
+            self.broken_off = True
             eventlet.spawn_n(self._break_off)
             return True
         return False
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -356,6 +356,8 @@
             self._send_error(request, caller, error)
         except _caller_connection.CallerDisconnectedError:
             code = errors.ResultCode.CANCELLED
+            if caller.broken_off:
+                code = errors.ResultCode.STREAM_BROKEN
             raise
         except Exception:
             code = errors.ResultCode.INTERNAL
