Half a request at the end of a stop is refused, not dropped

Callers: one who was still sending as a stopping entry ended, slowly or without end, saw its connection end without an answer. Cause: only requests that were complete counted as such at the end of a stop; the timeouts of heads and bodies may be longer than what is left of the grace.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -186,6 +186,49 @@
         stop.kill()
 
 
+# Half a request at the end of a stop ended without an answer.
+@pytest.mark.parametrize(
+    "sent",
+    [
+        REQUEST[:1],
+        REQUEST[:60],
+        REQUEST[:-2],
+        REQUEST.replace(b"Length: 0", b"Length: 50") + b"half",
+        REQUEST.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        + b"5\r\nhal",
+    ],
+    ids=["byte", "line", "head", "body", "chunk"],
+)
+def test_half_a_request_is_refused_at_the_end(sent):
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=1.5
+    ) as system:
+        sock = system.connect()
+        sock.sendall(sent)
+        assert deploy.wait_until(lambda: system.gateway.callers)
+        eventlet.sleep(0.05)
+        answer = eventlet.spawn(answer_to, sock)
+        system.gateway.shut_down()
+        # The process would end here.
+        with eventlet.Timeout(0.1):
+            assert answer.wait().startswith(b"HTTP/1.1 408 ")
+        sock.close()
+        assert system.targets[0].seen == []
+
+
+def test_garbage_is_refused_during_a_stop():
+    with deploy.deployment(
+        lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=4.0
+    ) as system:
+        sock = system.connect()
+        stop = begin_stop(system)
+        sock.sendall(b"\x00\xff garbage\r\n\r\n")
+        assert answer_to(sock).startswith(b"HTTP/1.1 400 ")
+        sock.close()
+        assert system.ask("/short/x", X_Zinniadyke_Deadline_Ms="700")[0] == 200
+        stop.kill()
+
+
 def test_process_without_requests_ends_well_before_the_grace():
     with deploy.deployment(
         lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -114,12 +114,13 @@
         self.resets = False
         self.broken_off = False
         self.handler_greenlet: greenlet.greenlet | None = None
+        self.reader: greenlet.greenlet | None = None
         self.idle_since = time.monotonic()
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
         self.handler_greenlet = greenlet.getcurrent()
-        reader = eventlet.spawn(self._read)
+        self.reader = reader = eventlet.spawn(self._read)
         closes_idle = False
         try:
             while True:
@@ -192,13 +193,17 @@
             return False
 
     def interrupt(self, error: errors.RequestError) -> bool:
-        """End the current response; return whether there was one to end.
+        """End the current request; return whether there was one to end.
 
-        It becomes the error if nothing was sent yet, and a break if a stream
-        has begun. A complete response that the caller still reads is left.
+        Its response becomes the error if nothing was sent yet, and a break if
+        a stream has begun. A complete response that the caller still reads is
+        left. A request that has arrived in part is refused as too slow.
         """
         if not self.responding:
-            return False
+            if not self._arrives:
+                return False
+            hubs.get_hub().schedule_call_global(0, self._end_reading)
+            return True
         if not self.head_sent:
             hubs.get_hub().schedule_call_global(0, self._interrupt, error)
             return True
@@ -208,6 +213,20 @@
             return True
         return False
 
+    @property
+    def _arrives(self) -> bool:
+        """Whether the next request has arrived in part."""
+        return (
+            not self.responding
+            and self.requests.empty()
+            and self.parser.reading_since is not None
+            and not self.parser.ended
+        )
+
+    def _end_reading(self) -> None:
+        if self._arrives and not self.reader.dead:
+            self.reader.throw(_ReadTimeoutError)
+
     def _interrupt(self, error: errors.RequestError) -> None:
         if self.responding and not self.head_sent:
             self.handler_greenlet.throw(error)
