A stopping entry closes after an answer only if the answer says so

Callers: an answer whose head was sent before SIGTERM, as of a stream, ended with the connection, without `Connection: close`; the next request on it, sent at that moment, got no answer. Cause: the decision to close was taken at the end of a response, from what held then, not from what its head had said. Change: the head of a response decides. After one without `Connection: close` the connection goes on; the next answer says it, or the connection is closed as idle.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -171,6 +171,35 @@
         stop.kill()
 
 
+# A connection was closed after an answer that did not say so.
+def test_connection_stays_after_a_stream_that_began_before_the_stop():
+    def work(exchange):
+        if "/short/" in exchange.request_line:
+            exchange.answer(body=b"ok")
+            return
+        exchange.head(
+            framing="Transfer-Encoding: chunked", Content_Type=EVENT_STREAM
+        )
+        exchange.chunk(b"id: 1\ndata: a\n\n")
+        eventlet.sleep(0.3)
+        exchange.chunk(b"")
+
+    with deploy.deployment(work, spec=SPEC, grace_s=4.0) as system:
+        sock = system.connect()
+        sock.sendall(REQUEST.replace(b"/short/", b"/stream/"))
+        data = sock.recv(65536)
+        stop = begin_stop(system)
+        while not data.endswith(b"0\r\n\r\n"):
+            data += sock.recv(65536)
+        assert b"connection: close" not in data
+        sock.sendall(REQUEST)
+        answer = answer_to(sock)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert b"connection: close" in answer
+        sock.close()
+        stop.kill()
+
+
 def test_slow_sender_is_answered_during_a_stop():
     with deploy.deployment(
         lambda e: e.answer(body=b"ok"), spec=SPEC, grace_s=8.0
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -65,7 +65,10 @@
     disconnected
         Whether the caller, or this side, has ended the connection.
     close_after_response
-        Whether the connection ends after the current response.
+        Whether the connection ends after the response that begins next.
+    close_announced
+        Whether it ends after the current response, whose head says so or
+        which is broken off. Without that, the caller may send on.
     head_sent
         Whether the head of the current response was sent.
     streams
@@ -107,6 +110,7 @@
         self.responding = False
         self.disconnected = False
         self.close_after_response = False
+        self.close_announced = False
         self.head_sent = False
         self.streams = False
         self.chunked = False
@@ -139,7 +143,7 @@
                     self.responding = False
                     self.idle_since = time.monotonic()
                     self._give_back(request)
-                if self.close_after_response:
+                if self.close_announced:
                     break
             if not self.resets:
                 self._linger(reader)
@@ -243,7 +247,7 @@
         """Write a complete response; ``headers`` contain no framing."""
         self.head_sent = True
         self._send(
-            _encode_head(status, headers, self.close_after_response)
+            self._encode_head(status, headers)
             + b"content-length: %d\r\n\r\n" % len(body)
             + body
         )
@@ -253,9 +257,7 @@
     ) -> None:
         """Write a response whose method or status allows no body."""
         self.head_sent = True
-        self._send(
-            _encode_head(status, headers, self.close_after_response) + b"\r\n"
-        )
+        self._send(self._encode_head(status, headers) + b"\r\n")
 
     def start_stream(
         self,
@@ -271,7 +273,7 @@
         if not chunked:
             self.ends_by_close = True
             self.close_after_response = True
-        head = _encode_head(status, headers, self.close_after_response)
+        head = self._encode_head(status, headers)
         if chunked:
             head += b"transfer-encoding: chunked\r\n"
         self._send(head + b"\r\n" + self._encode_part(first))
@@ -300,7 +302,7 @@
         What was ready before is delivered first.
         """
         self.flush()
-        self.close_after_response = True
+        self.close_announced = True
         if self.ends_by_close:
             # A reset drops what the kernel still holds for the caller.
             _send_progress.wait_acknowledged(self.sock.fd, LINGER_S)
@@ -327,6 +329,12 @@
         except _caller_writer.CallerGoneError as error:
             raise CallerDisconnectedError(str(error))
 
+    def _encode_head(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> bytes:
+        self.close_announced = self.close_after_response
+        return _encode_head(status, headers, self.close_announced)
+
     def _encode_part(self, part: bytes) -> bytes:
         if not part:
             return b""
--- a/zinniadyke/http_pools.py
+++ b/zinniadyke/http_pools.py
@@ -2,7 +2,8 @@
 
 ``http.client`` reads the head of an answer up to an empty line or to the end
 of the connection. A head that ends early may lack the length of the body,
-and would then stand for an answer with an empty body.
+and would then stand for an answer with an empty body. A reset, which
+eventlet hides, would stand for the end of a body without a length.
 """
 
 import http.client
