--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -1,66 +1,104 @@
-"""A server that sends bytes without end, and callers of other servers."""
+"""The origin's manifest of new weights is corrupted once."""
 
+import json
 import pathlib
 import sys
 import threading
 import time
+from urllib import parse
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 import harness_2 as harness
 
-DEADLINE_MS = 1500
-ROUTE_TIMEOUT_S = 0.8
-# The rule: unanswered at the route's timeout, and half a second later.
-LATE_S = ROUTE_TIMEOUT_S + 0.5
-CLIENTS = 12
-BEFORE_S = 6.0
-FLOOD_S = 14.0
-AFTER_S = 4.0
-# A packet, and the link of a model server's machine on the sheet.
-PACKET_BYTES = 1400
-LINK_BITS_PER_S = 3.8e6
-
-
-class StreamServer(harness.Server):
-    """Sends short streams, or blank lines until its caller closes."""
-
-    floods = False
-
-    def run(self, sock, request, headers) -> None:
-        """Answer with a stream."""
-        self.note_run(request)
-        harness.send_stream_head(sock, request)
-        if self.floods:
-            self.record.write(f"{self.name} sends blank lines to {request}")
-            self.flood(sock)
-        for number in range(1, 5):
-            sock.sendall(harness.chunk(b"id: %d\ndata: a\n\n" % number))
-            time.sleep(0.05)
-        sock.sendall(harness.chunk(b""))
-
-    def flood(self, sock) -> None:
-        """Send blank lines until the caller closes, or trouble ends."""
-        block = harness.chunk(b"\n" * PACKET_BYTES)
-        sent = 0
-        began = time.monotonic()
-        try:
-            while self.floods:
-                sock.sendall(block)
-                sent += len(block)
-                early_s = sent * 8 / LINK_BITS_PER_S - (
-                    time.monotonic() - began
-                )
-                if early_s > 0:
-                    time.sleep(early_s)
-        finally:
-            self.record.write(f"{self.name} sent {sent} blank lines")
+MODEL_SERVERS = 3
+CLIENTS = 4
+CALM_S = 5.0
+WATCHED_S = 14.0
+
+
+class TroubledOrigin(harness.Origin):
+    """Sends one manifest with some spoilt bytes.
+
+    Attributes
+    ----------
+    troubled
+        Whether the next manifest is corrupted.
+    """
+
+    troubled = False
+
+    def __init__(self, ip: str, record: harness.Record) -> None:
+        self.record = record
+        super().__init__(ip)
+
+    def handle(self, sock, method, target, headers, body) -> None:
+        """Answer soundly, but for one manifest."""
+        url = parse.urlsplit(target)
+        if not (self.troubled and url.path.startswith("/v1/manifest/")):
+            super().handle(sock, method, target, headers, body)
+            return
+        self.troubled = False
+        version = int(parse.parse_qs(url.query)["version"][0])
+        digests = [
+            harness.digest_of(version, n) for n in range(harness.PIECES)
+        ]
+        sound = json.dumps(
+            {
+                "model": harness.MODEL,
+                "version": version,
+                "chunk_bytes": harness.PIECE_BYTES,
+                "layers": harness.LAYERS,
+                "digests": digests,
+            }
+        )
+        spoilt = f', "{digests[-1]}"'
+        corrupted = sound.replace(spoilt, " " * len(spoilt))
+        self.record.write(
+            f"the origin answers GET {target} with {len(spoilt)} of"
+            f" {len(sound)} bytes spoilt"
+        )
+        harness.send_answer(
+            sock, 200, corrupted.encode(), Content_Type="application/json"
+        )
+
+
+class WatchedServer(harness.ModelServer):
+    """Notes whether what it loads is whole.
+
+    Attributes
+    ----------
+    spoilt
+        Pieces that were not of the loaded version, by version.
+    """
+
+    def __init__(self, **options) -> None:
+        self.spoilt: dict[int, list[int]] = {}
+        super().__init__(**options)
+
+    def accepted(self, order: dict) -> None:
+        """Compare what is staged with the ordered version."""
+        version = order["version"]
+        self.spoilt[version] = [
+            index
+            for index in range(harness.PIECES)
+            if self.staged.get(index) != harness.piece_of(version, index)
+        ]
+        self.record.write(
+            f"{self.name} takes version {version}; pieces that are not of"
+            f" it: {self.spoilt[version]}"
+        )
 
 
 def scenario(deployment: harness.Deployment) -> bool:
-    """Return whether sound requests went unanswered."""
-    record, network = deployment.record, deployment.network
-    deployment.store.put(
+    """Return whether a request ran on weights that were not whole."""
+    record, network, store = (
+        deployment.record,
+        deployment.network,
+        deployment.store,
+    )
+    origin = TroubledOrigin(network.new_ip(), record)
+    store.put(
         "config",
         "main",
         harness.configuration(
@@ -70,104 +108,96 @@
                     kind="streaming",
                     service="drafting",
                     stream_resume=True,
+                    sticky=True,
                     target_gap_ms=300,
                 ),
-                harness.route(
-                    "slots",
-                    service="desk",
-                    timeout_ms=int(ROUTE_TIMEOUT_S * 1000),
-                    max_attempts=1,
-                ),
             ],
             [
-                {"name": "drafting", "max_connections": 364},
-                {"name": "desk", "max_connections": 110},
+                harness.engine_service("drafting"),
+                {
+                    "name": "records",
+                    "origin": origin.address,
+                    "zone": harness.ZONE,
+                    "link_mbps": 9.9,
+                    "max_connections": 48,
+                },
             ],
         ),
     )
-    streams = StreamServer(
-        record=record,
-        store=deployment.store,
-        ip=network.new_ip(),
-        name="i-stream",
-        service="drafting",
+    store.put(
+        "versions", harness.MODEL, {"model": harness.MODEL, "version": 1}
     )
-    desks = [
-        harness.Server(
+    servers = []
+    for number in range(1, MODEL_SERVERS + 1):
+        server = WatchedServer(
             record=record,
-            store=deployment.store,
+            store=store,
             ip=network.new_ip(),
-            name=f"i-desk-{n}",
-            service="desk",
+            name=f"i-model-{number}",
+            service="drafting",
         )
-        for n in (1, 2)
-    ]
-    for server in (streams, *desks):
         server.register()
-    gateway = deployment.start_gateway("front-1")
-    time.sleep(1)
-
-    answers: list[harness.Answer] = []
+        servers.append(server)
+        deployment.start_program(
+            "sidecar",
+            f"side-{number}",
+            server.address.partition(":")[0],
+            app=server.address,
+            service="drafting",
+            limits={"memory_mb": 168, "link_mbps": 3.8},
+        )
     stop = threading.Event()
 
-    def call_desk(name: str) -> None:
+    def beat() -> None:
+        while not stop.wait(1.2):
+            for server in servers:
+                server.register()
+
+    threading.Thread(target=beat, daemon=True).start()
+    gateway = deployment.start_gateway("front-1")
+
+    def ask(name: str) -> None:
         client = harness.Client(
             record=record, address=gateway.front, name=name
         )
         while not stop.is_set():
-            answers.append(client.ask("/slots/x", deadline_ms=DEADLINE_MS))
-            stop.wait(0.2)
-
-    threads = [
-        threading.Thread(target=call_desk, args=(f"desk{n}",), daemon=True)
-        for n in range(CLIENTS)
-    ]
-    for thread in threads:
-        thread.start()
-    reader = harness.Client(
-        record=record, address=gateway.front, name="stream"
-    )
-    reader.ask("/summary/x", deadline_ms=6000)
-    time.sleep(BEFORE_S)
-    streams.floods = harness.TROUBLE
-    asking = threading.Thread(
-        target=reader.ask,
-        args=("/summary/x",),
-        kwargs={"deadline_ms": 6000},
-        daemon=True,
+            client.ask(
+                "/summary/x",
+                deadline_ms=6000,
+                headers={
+                    "X-Zinniadyke-Model": harness.MODEL,
+                    "X-Zinniadyke-Token-Counts": "1290,120",
+                    "X-Zinniadyke-Prefix-Hash": "5c1e07a2:40,91bd3f06:1250",
+                },
+            )
+            stop.wait(0.1)
+
+    for number in range(CLIENTS):
+        threading.Thread(
+            target=ask, args=(f"client{number}",), daemon=True
+        ).start()
+    time.sleep(CALM_S)
+    origin.troubled = harness.TROUBLE
+    store.put(
+        "versions", harness.MODEL, {"model": harness.MODEL, "version": 2}
     )
-    troubled_from = time.monotonic()
-    asking.start()
-    misses = 0
-    while time.monotonic() < troubled_from + FLOOD_S:
-        time.sleep(1.0)
-        ready = gateway.is_ready()
-        misses += not ready
-        record.write(f"GET /v1/ready: {200 if ready else 'no answer'}")
-    troubled_until = time.monotonic()
-    streams.floods = False
-    time.sleep(AFTER_S)
+    record.write("version 2 is named and acknowledged")
+    time.sleep(WATCHED_S)
     stop.set()
-    for thread in threads:
-        thread.join(3)
-
-    counted = [
-        a
-        for a in answers
-        if troubled_from <= a.began < troubled_until - LATE_S
-        and not (a.status and a.took_s < ROUTE_TIMEOUT_S)
-    ]
-    unanswered = [a for a in counted if not a.status or a.took_s > LATE_S]
-    record.write(
-        f"requests to the sound servers in the trouble:"
-        f" {sum(troubled_from <= a.began < troubled_until for a in answers)};"
-        f" unanswered at the timeout: {len(counted)};"
-        f" of these, half a second later: {len(unanswered)};"
-        f" questions for readiness without an answer: {misses}"
-    )
-    if not [a for a in answers if a.began < troubled_from and a.status == 200]:
-        raise harness.CannotRunError("nothing was served before the trouble")
-    return len(counted) >= 8 and len(unanswered) > len(counted) / 2
+    bad = 0
+    new = 0
+    for server in servers:
+        runs = [r for r in server.runs if r[2] == 2]
+        new += len(runs)
+        if server.spoilt.get(2):
+            bad += len(runs)
+        record.write(
+            f"{server.name}: {len(runs)} requests ran on version 2, taken"
+            f" with {len(server.spoilt.get(2, []))} wrong pieces"
+        )
+    if not any(server.runs for server in servers) or not new:
+        raise harness.CannotRunError("nothing ran on version 2")
+    return bad > 0
 
 
 harness.play(__file__, scenario)
--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -1,6 +1,5 @@
-"""A model server sends interim answers without end to its agent."""
+"""A server that sends bytes without end, and callers of other servers."""
 
-import http.client
 import pathlib
 import sys
 import threading
@@ -10,73 +9,58 @@
 
 import harness_2 as harness
 
-MODEL_SERVERS = 3
-CALM_S = 6.0
-FLOOD_S = 45.0
-METRICS_PORT = 9464
-# The platform reads metrics every 5 s while it examines an incident.
-METRICS_INTERVAL_S = 5.0
-INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 2000
-
-
-class TroubledServer(harness.ModelServer):
-    """Sends interim answers without end instead of one report.
-
-    Attributes
-    ----------
-    troubled
-        Whether the next report is asked for in vain.
-    until
-        Monotonic time at which the trouble ends.
-    """
-
-    troubled = False
-    until = 0.0
-
-    def report(self, sock) -> None:
-        """Tell the state, but for one call."""
-        if not self.troubled:
-            super().report(sock)
-            return
-        self.troubled = False
-        self.record.write(f"{self.name} sends interim answers to a call")
+DEADLINE_MS = 1500
+ROUTE_TIMEOUT_S = 0.8
+# The rule: unanswered at the route's timeout, and half a second later.
+LATE_S = ROUTE_TIMEOUT_S + 0.5
+CLIENTS = 12
+BEFORE_S = 6.0
+FLOOD_S = 14.0
+AFTER_S = 4.0
+# A packet, and the link of a model server's machine on the sheet.
+PACKET_BYTES = 1400
+LINK_BITS_PER_S = 3.8e6
+
+
+class StreamServer(harness.Server):
+    """Sends short streams, or blank lines until its caller closes."""
+
+    floods = False
+
+    def run(self, sock, request, headers) -> None:
+        """Answer with a stream."""
+        self.note_run(request)
+        harness.send_stream_head(sock, request)
+        if self.floods:
+            self.record.write(f"{self.name} sends blank lines to {request}")
+            self.flood(sock)
+        for number in range(1, 5):
+            sock.sendall(harness.chunk(b"id: %d\ndata: a\n\n" % number))
+            time.sleep(0.05)
+        sock.sendall(harness.chunk(b""))
+
+    def flood(self, sock) -> None:
+        """Send blank lines until the caller closes, or trouble ends."""
+        block = harness.chunk(b"\n" * PACKET_BYTES)
         sent = 0
+        began = time.monotonic()
         try:
-            while time.monotonic() < self.until:
-                sock.sendall(INTERIM)
-                sent += len(INTERIM)
+            while self.floods:
+                sock.sendall(block)
+                sent += len(block)
+                early_s = sent * 8 / LINK_BITS_PER_S - (
+                    time.monotonic() - began
+                )
+                if early_s > 0:
+                    time.sleep(early_s)
         finally:
-            self.record.write(f"{self.name} sent {sent} bytes in that answer")
-        raise ConnectionError("the trouble ends with the connection")
-
-
-def reads_metrics(ip: str) -> bool:
-    """Return whether a process serves its metrics."""
-    connection = http.client.HTTPConnection(ip, METRICS_PORT, timeout=4)
-    try:
-        connection.request("GET", "/metrics")
-        return connection.getresponse().status == 200
-    except (OSError, http.client.HTTPException):
-        return False
-    finally:
-        connection.close()
-
-
-def processor_s(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
-    return (int(fields[13]) + int(fields[14])) / 100
+            self.record.write(f"{self.name} sent {sent} blank lines")
 
 
 def scenario(deployment: harness.Deployment) -> bool:
-    """Return whether an agent did not hand back the processor."""
-    record, network, store = (
-        deployment.record,
-        deployment.network,
-        deployment.store,
-    )
-    origin = harness.Origin(network.new_ip())
-    store.put(
+    """Return whether sound requests went unanswered."""
+    record, network = deployment.record, deployment.network
+    deployment.store.put(
         "config",
         "main",
         harness.configuration(
@@ -86,93 +70,104 @@
                     kind="streaming",
                     service="drafting",
                     stream_resume=True,
-                    sticky=True,
                     target_gap_ms=300,
                 ),
+                harness.route(
+                    "slots",
+                    service="desk",
+                    timeout_ms=int(ROUTE_TIMEOUT_S * 1000),
+                    max_attempts=1,
+                ),
             ],
             [
-                harness.engine_service("drafting"),
-                {
-                    "name": "records",
-                    "origin": origin.address,
-                    "zone": harness.ZONE,
-                    "link_mbps": 9.9,
-                    "max_connections": 48,
-                },
+                {"name": "drafting", "max_connections": 364},
+                {"name": "desk", "max_connections": 110},
             ],
         ),
     )
-    store.put(
-        "versions", harness.MODEL, {"model": harness.MODEL, "version": 1}
+    streams = StreamServer(
+        record=record,
+        store=deployment.store,
+        ip=network.new_ip(),
+        name="i-stream",
+        service="drafting",
     )
-    agents = []
-    servers = []
-    for number in range(1, MODEL_SERVERS + 1):
-        server = TroubledServer(
+    desks = [
+        harness.Server(
             record=record,
-            store=store,
+            store=deployment.store,
             ip=network.new_ip(),
-            name=f"i-model-{number}",
-            service="drafting",
+            name=f"i-desk-{n}",
+            service="desk",
         )
+        for n in (1, 2)
+    ]
+    for server in (streams, *desks):
         server.register()
-        servers.append(server)
-        ip = server.address.partition(":")[0]
-        agents.append(
-            (
-                ip,
-                deployment.start_program(
-                    "sidecar",
-                    f"side-{number}",
-                    ip,
-                    app=server.address,
-                    service="drafting",
-                    limits={"memory_mb": 168, "link_mbps": 3.8},
-                ),
-            )
-        )
-    stop = threading.Event()
+    gateway = deployment.start_gateway("front-1")
+    time.sleep(1)
 
-    def beat() -> None:
-        while not stop.wait(1.2):
-            for server in servers:
-                server.register()
+    answers: list[harness.Answer] = []
+    stop = threading.Event()
 
-    threading.Thread(target=beat, daemon=True).start()
-    gateway = deployment.start_gateway("front-1")
-    time.sleep(CALM_S)
-    if not all(reads_metrics(ip) for ip, _ in agents):
-        raise harness.CannotRunError("an agent does not run")
-    troubled_until = time.monotonic() + FLOOD_S
-    servers[0].until = troubled_until
-    servers[0].troubled = harness.TROUBLE
-    store.put(
-        "versions", harness.MODEL, {"model": harness.MODEL, "version": 2}
-    )
-    record.write("version 2 is named and acknowledged")
-    missed = dict.fromkeys((ip for ip, _ in agents), 0)
-    used = {ip: processor_s(agent.process.pid) for ip, agent in agents}
-    began = time.monotonic()
-    while time.monotonic() < troubled_until - METRICS_INTERVAL_S:
-        time.sleep(METRICS_INTERVAL_S)
-        for ip, agent in agents:
-            reads = reads_metrics(ip)
-            missed[ip] = 0 if reads else missed[ip] + 1
-            record.write(
-                f"{agent.name}: GET /metrics: {200 if reads else 'no answer'}"
-            )
-    took_s = time.monotonic() - began
-    for server, (ip, agent) in zip(servers, agents, strict=True):
-        share = (processor_s(agent.process.pid) - used[ip]) / took_s
-        record.write(
-            f"{agent.name}: {missed[ip]} questions in a row unanswered,"
-            f" {share:.0%} of a core; its server holds version"
-            f" {server.version}"
+    def call_desk(name: str) -> None:
+        client = harness.Client(
+            record=record, address=gateway.front, name=name
         )
+        while not stop.is_set():
+            answers.append(client.ask("/slots/x", deadline_ms=DEADLINE_MS))
+            stop.wait(0.2)
+
+    threads = [
+        threading.Thread(target=call_desk, args=(f"desk{n}",), daemon=True)
+        for n in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    reader = harness.Client(
+        record=record, address=gateway.front, name="stream"
+    )
+    reader.ask("/summary/x", deadline_ms=6000)
+    time.sleep(BEFORE_S)
+    streams.floods = harness.TROUBLE
+    asking = threading.Thread(
+        target=reader.ask,
+        args=("/summary/x",),
+        kwargs={"deadline_ms": 6000},
+        daemon=True,
+    )
+    troubled_from = time.monotonic()
+    asking.start()
+    misses = 0
+    while time.monotonic() < troubled_from + FLOOD_S:
+        time.sleep(1.0)
+        ready = gateway.is_ready()
+        misses += not ready
+        record.write(f"GET /v1/ready: {200 if ready else 'no answer'}")
+    troubled_until = time.monotonic()
+    streams.floods = False
+    time.sleep(AFTER_S)
     stop.set()
-    record.write(f"front-1 is ready: {gateway.is_ready()}")
-    # Unanswered four times in a row: for longer than any call may take.
-    return any(count >= 4 for count in missed.values())
+    for thread in threads:
+        thread.join(3)
+
+    counted = [
+        a
+        for a in answers
+        if troubled_from <= a.began < troubled_until - LATE_S
+        and not (a.status and a.took_s < ROUTE_TIMEOUT_S)
+    ]
+    unanswered = [a for a in counted if not a.status or a.took_s > LATE_S]
+    record.write(
+        f"requests to the sound servers in the trouble:"
+        f" {sum(troubled_from <= a.began < troubled_until for a in answers)};"
+        f" unanswered at the timeout: {len(counted)};"
+        f" of these, half a second later: {len(unanswered)};"
+        f" questions for readiness without an answer: {misses}"
+    )
+    if not [a for a in answers if a.began < troubled_from and a.status == 200]:
+        raise harness.CannotRunError("nothing was served before the trouble")
+    return len(counted) >= 8 and len(unanswered) > len(counted) / 2
 
 
 harness.play(__file__, scenario)
