--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -45,6 +45,10 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+# A case ends by itself before it has run for 120 s.
+LONGEST_S = 112.0
+
+
 class CannotRunError(Exception):
     """The case could not be played."""
 
@@ -897,17 +901,18 @@
     """
     case = pathlib.Path(folder).resolve().parent
     deployment = Deployment(case)
-    code = 2
+
+    def end(code: int, result: str) -> None:
+        deployment.record.write(f"result: {result}")
+        deployment.close()
+        print(f"{case.name}: {result}, exit {code}", flush=True)
+        os._exit(code)
+
+    timer = threading.Timer(LONGEST_S, end, (2, "cannot run: too slow"))
+    timer.daemon = True
+    timer.start()
     try:
         broken = scenario(deployment)
-        code = 1 if broken else 0
-        deployment.record.write(
-            f"result: {'rule broken' if broken else 'rule held'}"
-        )
-    except CannotRunError as error:
-        deployment.record.write(f"cannot run: {error}")
-    finally:
-        deployment.close()
-    print(f"{case.name}: exit {code}")
-    sys.stdout.flush()
-    os._exit(code)
+    except Exception as error:
+        end(2, f"cannot run: {error!r}")
+    end(int(broken), "rule broken" if broken else "rule held")
