--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -20,24 +20,27 @@
 # A packet, and the link of a model server's machine on the sheet.
 PACKET_BYTES = 1400
 LINK_BITS_PER_S = 3.8e6
+PROMPT = {
+    "X-Zinniadyke-Model": harness.MODEL,
+    "X-Zinniadyke-Token-Counts": "1290,120",
+    "X-Zinniadyke-Prefix-Hash": "5c1e07a2:40,91bd3f06:1250",
+}
 
 
-class StreamServer(harness.Server):
+class StreamServer(harness.ModelServer):
     """Sends short streams, or blank lines until its caller closes."""
 
     floods = False
 
     def run(self, sock, request, headers) -> None:
         """Answer with a stream."""
-        self.note_run(request)
+        if not self.floods:
+            super().run(sock, request, headers)
+            return
+        self.note_run(request, self.version)
         harness.send_stream_head(sock, request)
-        if self.floods:
-            self.record.write(f"{self.name} sends blank lines to {request}")
-            self.flood(sock)
-        for number in range(1, 5):
-            sock.sendall(harness.chunk(b"id: %d\ndata: a\n\n" % number))
-            time.sleep(0.05)
-        sock.sendall(harness.chunk(b""))
+        self.record.write(f"{self.name} sends blank lines to {request}")
+        self.flood(sock)
 
     def flood(self, sock) -> None:
         """Send blank lines until the caller closes, or trouble ends."""
@@ -70,6 +73,7 @@
                     kind="streaming",
                     service="drafting",
                     stream_resume=True,
+                    sticky=True,
                     target_gap_ms=300,
                 ),
                 harness.route(
@@ -80,18 +84,40 @@
                 ),
             ],
             [
-                {"name": "drafting", "max_connections": 364},
+                harness.engine_service("drafting"),
                 {"name": "desk", "max_connections": 110},
+                {
+                    "name": "records",
+                    "origin": harness.Origin(network.new_ip()).address,
+                    "zone": harness.ZONE,
+                    "link_mbps": 9.9,
+                    "max_connections": 48,
+                },
             ],
         ),
     )
-    streams = StreamServer(
-        record=record,
-        store=deployment.store,
-        ip=network.new_ip(),
-        name="i-stream",
-        service="drafting",
+    deployment.store.put(
+        "versions", harness.MODEL, {"model": harness.MODEL, "version": 1}
     )
+    streams = [
+        StreamServer(
+            record=record,
+            store=deployment.store,
+            ip=network.new_ip(),
+            name=f"i-model-{n}",
+            service="drafting",
+        )
+        for n in (1, 2)
+    ]
+    for number, server in enumerate(streams, 1):
+        deployment.start_program(
+            "sidecar",
+            f"side-{number}",
+            server.address.partition(":")[0],
+            app=server.address,
+            service="drafting",
+            limits={"memory_mb": 168, "link_mbps": 3.8},
+        )
     desks = [
         harness.Server(
             record=record,
@@ -102,13 +128,20 @@
         )
         for n in (1, 2)
     ]
-    for server in (streams, *desks):
+    for server in (*streams, *desks):
         server.register()
+    stop = threading.Event()
+
+    def beat() -> None:
+        while not stop.wait(1.2):
+            for server in (*streams, *desks):
+                server.register()
+
+    threading.Thread(target=beat, daemon=True).start()
     gateway = deployment.start_gateway("front-1")
-    time.sleep(1)
+    time.sleep(2)
 
     answers: list[harness.Answer] = []
-    stop = threading.Event()
 
     def call_desk(name: str) -> None:
         client = harness.Client(
@@ -127,13 +160,14 @@
     reader = harness.Client(
         record=record, address=gateway.front, name="stream"
     )
-    reader.ask("/summary/x", deadline_ms=6000)
+    reader.ask("/summary/x", deadline_ms=6000, headers=PROMPT)
     time.sleep(BEFORE_S)
-    streams.floods = harness.TROUBLE
+    for server in streams:
+        server.floods = harness.TROUBLE
     asking = threading.Thread(
         target=reader.ask,
         args=("/summary/x",),
-        kwargs={"deadline_ms": 6000},
+        kwargs={"deadline_ms": 6000, "headers": PROMPT},
         daemon=True,
     )
     troubled_from = time.monotonic()
@@ -145,7 +179,8 @@
         misses += not ready
         record.write(f"GET /v1/ready: {200 if ready else 'no answer'}")
     troubled_until = time.monotonic()
-    streams.floods = False
+    for server in streams:
+        server.floods = False
     time.sleep(AFTER_S)
     stop.set()
     for thread in threads:
