--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -751,14 +751,16 @@
         self.programs.append(program)
         return program
 
-    def start_gateway(self, name: str) -> "Gateway":
+    def start_gateway(self, name: str, **more: object) -> "Gateway":
         """Start a gateway and wait until it is ready."""
         ip = self.network.new_ip()
         listen = {
             "front": f"{ip}:{free_port(ip)}",
             "ready": f"{ip}:{free_port(ip)}",
         }
-        program = self.start_program("gateway", name, ip, listen=listen)
+        program = self.start_program(
+            "gateway", name, ip, listen=listen, **more
+        )
         gateway = Gateway(
             program=program, front=listen["front"], ready=listen["ready"]
         )
