Weights: a manifest must have a digest for each piece

Cause: digests were checked one by one and never as a whole. A manifest with one digest less was taken for whole, handed to the other agents, which checked nothing, and all later steps count by it. Evidence: the staged pieces at the order differ in the last index only, and nobody asked for that piece. Change: digests, from the origin and from other agents, must be as many as the configuration has pieces; a manifest must be of the model asked for; digests read under another number are dropped. An agent reads the configuration again when a manifest has another number, as it reads it only once otherwise.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -340,6 +340,54 @@
         made.check_loads()
 
 
+def test_manifest_that_lacks_a_digest_is_read_again():
+    """Guards against weights whose last piece is of the version before."""
+    with fleet(1, 1, 1) as made:
+        made.origin.short_manifest_versions.add(2)
+        made.name(2)
+        assert made.all_hold(2)
+        assert made.origin.manifest_reads > 1
+        made.check_loads()
+
+
+def test_fetched_version_is_fetched_again_if_it_has_more_pieces():
+    """Guards against a load with the digests of an earlier configuration."""
+    with fleet(1, version_ms=8000.0) as made:
+        (agent,) = made.agents.values()
+        updater = agent.weights_updater
+        spec = made.configuration()
+        spec["services"][0]["engine"]["chunks"] = PIECES - 1
+        made.store.put("config", "main", spec)
+        updater.configuration.refresh(0.0)
+        made.origin.short_manifest_versions.add(2)
+        made.name(2)
+        assert deploy.wait_until(
+            lambda: any(
+                s.version == 2 and not s.missing
+                for s in agent.peer_server.stores
+            )
+        )
+        made.store.put("config", "main", made.configuration())
+        updater.configuration.refresh(0.0)
+        assert made.all_hold(2, timeout_s=12.0)
+        made.check_loads()
+
+
+def test_changed_number_of_pieces_is_read_when_a_manifest_has_it():
+    """Agents read the configuration once; the number may change later."""
+    with fleet(1) as made:
+        (agent,) = made.agents.values()
+        updater = agent.weights_updater
+        spec = made.configuration()
+        spec["services"][0]["engine"]["chunks"] = PIECES - 1
+        made.store.put("config", "main", spec)
+        updater.configuration.refresh(0.0)
+        made.store.put("config", "main", made.configuration())
+        made.name(2)
+        assert made.all_hold(2)
+        made.check_loads()
+
+
 def test_staged_piece_is_read_back_once_for_all_ranges(monkeypatch):
     monkeypatch.setattr(_peer_client, "RANGE_BYTES", 8)
     with fleet(1) as made:
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -108,11 +108,11 @@
     with pytest.raises(errors.WeightsError):
         origin.piece("m", 1, 0)
     with pytest.raises(errors.WeightsError):
-        origin.manifest("m", 1)
+        origin.manifest("m", 1, piece_count=1)
     host, _, port = server.address.rpartition(":")
     peer = _peer_client.PeerClient(port=int(port))
     store = _pieces.PieceStore(model="m", version=1, digests=("0" * 64,))
-    assert peer.digests(host, "m", 1) is None
+    assert peer.digests(host, "m", 1, piece_count=1) is None
     assert (
         peer.piece(host, store, 0, size_bytes=8192, throttle=lambda size: None)
         is None
--- a/zinniadyke/fakes/_model_server.py
+++ b/zinniadyke/fakes/_model_server.py
@@ -135,6 +135,8 @@
         Version and index of pieces that are corrupted on their next read.
     corrupt_manifest_versions
         Versions whose next manifest contains a wrong digest.
+    short_manifest_versions
+        Versions whose next manifest lacks its last digest.
     piece_delay_s
         Time that each read of a piece takes, in seconds.
     """
@@ -146,6 +148,7 @@
         self.reads = 0
         self.manifest_reads = 0
         self.corrupt_manifest_versions: set[int] = set()
+        self.short_manifest_versions: set[int] = set()
         self.corrupt_on_read: set[tuple[int, int]] = set()
         self.server = _http.HttpServer(application=self, address=address)
         self.address = self.server.address
@@ -167,6 +170,9 @@
             if version in self.corrupt_manifest_versions:
                 self.corrupt_manifest_versions.discard(version)
                 digests[0] = digests[1]
+            if version in self.short_manifest_versions:
+                self.short_manifest_versions.discard(version)
+                del digests[-1]
             return _http.answer_json(
                 start_response,
                 {"model": "m", "version": version, "digests": digests},
--- a/zinniadyke/platform/__init__.py
+++ b/zinniadyke/platform/__init__.py
@@ -3,6 +3,8 @@
 from zinniadyke.platform._client import HOSTS_KIND
 from zinniadyke.platform._client import PlatformClient
 from zinniadyke.platform._cold_time import parse_cold
+from zinniadyke.platform._digests import check_digests
+from zinniadyke.platform._digests import PieceCountError
 from zinniadyke.platform._follow import follow_configuration
 from zinniadyke.platform._follow import follow_evacuations
 from zinniadyke.platform._follow import follow_targets
@@ -42,12 +44,14 @@
     "ManifestAnswer",
     "ModelServerClient",
     "OriginClient",
+    "PieceCountError",
     "PlatformClient",
     "Purpose",
     "Revision",
     "StoreClient",
     "StoredObject",
     "TokenCounts",
+    "check_digests",
     "compare_and_swap",
     "follow_configuration",
     "follow_evacuations",
--- a/zinniadyke/platform/_target_api.py
+++ b/zinniadyke/platform/_target_api.py
@@ -5,7 +5,6 @@
 
 import http
 import logging
-import re
 import time
 
 import msgspec
@@ -18,6 +17,7 @@
 from zinniadyke import ids
 from zinniadyke.platform import _cold_time
 from zinniadyke.platform import _decode_target
+from zinniadyke.platform import _digests
 from zinniadyke.platform import _host_figures
 from zinniadyke.platform import _retry_after
 from zinniadyke.platform import _target_limit
@@ -42,8 +42,6 @@
 LOCAL_TRANSFER_S = 2.0
 # Time limit of a whole call to the origin, whose link many share.
 ORIGIN_TRANSFER_S = 15.0
-# SHA-256 in hexadecimal.
-DIGEST = re.compile("[0-9a-f]{64}", re.IGNORECASE)
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -367,9 +365,16 @@
         self.closed_until = float("-inf")
         self.pool = _connection_pool(address, connections)
 
-    def manifest(self, model: str, version: int) -> ManifestAnswer:
+    def manifest(
+        self, model: str, version: int, *, piece_count: int
+    ) -> ManifestAnswer:
         """Return the digests of a version's pieces.
 
+        Parameters
+        ----------
+        piece_count
+            Number of pieces in the configuration; 0 if it names none.
+
         Raises
         ------
         WeightsError
@@ -383,16 +388,13 @@
                 f"unreadable manifest: {error}",
                 code=errors.ResultCode.ORIGIN_UNAVAILABLE,
             )
-        if decoded.version != version or not decoded.digests:
+        if (decoded.model, decoded.version) != (model, version):
             raise errors.WeightsError(
-                f"manifest is for version {decoded.version} or has no digests",
+                f"manifest is for version {decoded.version} of"
+                f" {decoded.model!r}",
                 code=errors.ResultCode.ORIGIN_CHANGED,
             )
-        if not all(DIGEST.fullmatch(d) for d in decoded.digests):
-            raise errors.WeightsError(
-                "manifest with a digest that is not SHA-256 in hexadecimal",
-                code=errors.ResultCode.CHUNK_CORRUPT,
-            )
+        _digests.check_digests(tuple(decoded.digests), piece_count)
         return ManifestAnswer(
             version=ids.WeightsVersion(decoded.version),
             digests=tuple(decoded.digests),
--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -9,7 +9,9 @@
 
 from zinniadyke import bounded_http
 from zinniadyke import decoding
+from zinniadyke import errors
 from zinniadyke import http_pools
+from zinniadyke import platform
 from zinniadyke.sidecar import _peer_server
 from zinniadyke.sidecar import _pieces
 
@@ -49,9 +51,15 @@
         self.unresponsive: set[str] = set()
 
     def digests(
-        self, host_ip: str, model: str, version: int
+        self, host_ip: str, model: str, version: int, *, piece_count: int
     ) -> tuple[str, ...] | None:
-        """Return the digests of a version's pieces; None on failure."""
+        """Return the digests of a version's pieces; None on failure.
+
+        Parameters
+        ----------
+        piece_count
+            Number of pieces in the configuration; 0 if it names none.
+        """
         data = self._get(
             host_ip,
             f"{_peer_server.MANIFEST_PATH}?model={model}&version={version}",
@@ -62,10 +70,12 @@
         if data is None:
             return None
         try:
-            return msgspec.json.decode(data, type=tuple[str, ...])
-        except decoding.UNREADABLE as error:
+            found = msgspec.json.decode(data, type=tuple[str, ...])
+            platform.check_digests(found, piece_count)
+            return found
+        except (errors.WeightsError, *decoding.UNREADABLE) as error:
             LOG.warning(
-                "cannot decode digests from peer",
+                "digests from peer unusable",
                 extra={"host": host_ip, "reason": str(error)},
             )
             return None
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -46,6 +46,13 @@
 UNSUBSCRIBED_REFRESH_S = 2.0
 # Maximum age of the list of peers.
 PEERS_REFRESH_S = 2.0
+# Maximum age of a configuration with another number of pieces than a
+# manifest.
+CONFIGURATION_REFRESH_S = 2.0
+# Pause after such a manifest; doubles with each further one, as a difference
+# that lasts must not keep the origin's link busy.
+DIGESTS_RETRY_S = 0.2
+MAX_DIGESTS_RETRY_S = 5.0
 # Interval between lists of peers while a version is fetched.
 FETCH_PEERS_REFRESH_S = 4.0
 # The same at first while this host is not listed, as after a restart of all
@@ -103,6 +110,8 @@
         )
         self.regions = {r.zone: r.region for r in loaded.host.regions}
         self.origin: platform.OriginClient | None = None
+        # Pause after the next manifest with another number of pieces.
+        self.digests_retry_s = DIGESTS_RETRY_S
         # Pieces of versions whose digests did not match the origin's bytes.
         self.rejected_stores: dict[
             tuple[ids.ModelName, ids.WeightsVersion], _pieces.PieceStore
@@ -169,7 +178,9 @@
         version = self._version_to_fetch(model)
         store = self.peer_server.find_store(model, version)
         if version <= self._held_version(model) or (
-            store is not None and not store.missing
+            store is not None
+            and not store.missing
+            and self._has_all_digests(store)
         ):
             self._release_idle_pieces()
             self.changed.wait(RETRY_DELAY_S)
@@ -234,6 +245,13 @@
     ) -> None:
         started = time.monotonic()
         store = self.peer_server.find_store(model, version)
+        if store is not None and not self._has_all_digests(store):
+            LOG.info(
+                "number of pieces changed, reading the digests again",
+                extra={"model": model, "version": version},
+            )
+            self.peer_server.drop_store(store)
+            store = None
         if store is None:
             store = _pieces.PieceStore(
                 model=model,
@@ -293,15 +311,30 @@
         if (model, version) in self.rejected_stores:
             hosts = [my_ip]
         origin = self._origin()
+        count = self._piece_count()
         try:
-            return _manifest.read_digests(
+            found = _manifest.read_digests(
                 hosts,
                 my_ip,
-                lambda host: self.client.digests(host, model, version),
-                lambda: origin.manifest(model, version).digests,
+                lambda host: self.client.digests(
+                    host, model, version, piece_count=count
+                ),
+                lambda: (
+                    origin.manifest(model, version, piece_count=count).digests
+                ),
             )
+        except platform.PieceCountError:
+            # An operator may have changed the number since it was read.
+            self.configuration.refresh(CONFIGURATION_REFRESH_S)
+            eventlet.sleep(self.digests_retry_s)
+            self.digests_retry_s = min(
+                2 * self.digests_retry_s, MAX_DIGESTS_RETRY_S
+            )
+            raise
         finally:
             origin.close_idle()
+        self.digests_retry_s = DIGESTS_RETRY_S
+        return found
 
     def _load(
         self,
@@ -394,9 +427,17 @@
             if store.model == model
             and store.version > held
             and not store.missing
+            and self._has_all_digests(store)
         ]
         return max(complete, key=lambda s: s.version, default=None)
 
+    def _has_all_digests(self, store: _pieces.PieceStore) -> bool:
+        """Whether a store has a digest for each piece in the configuration.
+
+        The number may have changed since the digests were read.
+        """
+        return self._piece_count() in (0, len(store.digests))
+
     def _scheduled_switch_at(
         self, model: ids.ModelName, version: ids.WeightsVersion
     ) -> float:
