Receiving gives others their turn, and a stream's limits hold

Cause: green threads switch only where one waits. A reader that finds bytes each time never waits, so no other ran and no time limit was noticed. Evidence: a loop of green_sockets.receive over a source that always has bytes runs on past each eventlet.Timeout, whatever else it does. A stream ends by its limits although bytes arrive, after one more read of what is there.

--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from tests import endless as endless_source
 from tests.gateway import deployment as deploy
 from zinniadyke.gateway import _events
 from zinniadyke.gateway import _target_connection
@@ -194,3 +195,152 @@
         )
         assert (status, complete) == (200, True)
         assert body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+class EndlessSocket(endless_source.EndlessSource):
+    """Connection to a target that takes all and sends without end."""
+
+    def __init__(self, start, block):
+        super().__init__(start, block, give_up_s=10.0)
+        self.fd = self
+
+    def send(self, data):
+        return len(data)
+
+    def shutdown(self, how):
+        pass
+
+    def close(self):
+        pass
+
+
+STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\n\r\n"
+CHUNKED_STREAM_HEAD = STREAM_HEAD.replace(
+    b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+FLOODS = {
+    "blank lines": (STREAM_HEAD, b"\n" * 8192),
+    "blank lines with returns": (STREAM_HEAD, b"\r\n" * 4096),
+    "comments": (STREAM_HEAD, b":\n\n" * 2048),
+    "smallest events": (STREAM_HEAD, b"a\n\n" * 2048),
+    "repeated event": (STREAM_HEAD, b"id: 1\n\n" * 2048),
+    "chunks of one byte": (CHUNKED_STREAM_HEAD, b"1\r\na\r\n" * 2048),
+    "blank lines in chunks": (CHUNKED_STREAM_HEAD, b"1\r\n\n\r\n" * 2048),
+    "interim answers": (b"", b"HTTP/1.1 100 \r\n\r\n" * 512),
+    "body": (HEAD + b"\r\n", BLOCK),
+}
+
+
+@pytest.mark.parametrize("flood", FLOODS)
+def test_flood_from_a_target_ends_and_leaves_others_their_turn(
+    flood, monkeypatch
+):
+    """Guards against a target whose bytes stop the whole gateway."""
+    start, block = FLOODS[flood]
+    sockets = []
+    connect = _target_connection.TargetConnection.connect
+
+    def connect_or_flood(self, timeout_s):
+        if self.address == system.targets[1].address:
+            self.sock = EndlessSocket(start, block)
+            sockets.append(self.sock)
+        else:
+            connect(self, timeout_s)
+
+    monkeypatch.setattr(
+        _target_connection.TargetConnection, "connect", connect_or_flood
+    )
+    routes = [
+        *deploy.ROUTES,
+        deploy.route("flood", kind="streaming", service="flood"),
+    ]
+    services = [
+        {"name": "desk", "max_connections": 50},
+        {"name": "flood", "max_connections": 50},
+    ]
+    system = deploy.Deployment()
+    try:
+        system.configure(
+            deploy.configuration(routes=routes, services=services)
+        )
+        system.add_target(lambda e: e.answer(200, b"ok"))
+        system.add_target(lambda e: None, service="flood")
+        system.start()
+        flooded = eventlet.spawn(
+            system.ask, "/flood/x", X_Zinniadyke_Deadline_Ms="1000"
+        )
+        while not flooded.dead:
+            assert system.ask("/once/x")[0] == 200
+        status, _, _, complete = flooded.wait()
+        assert status >= 500 or not complete
+        assert sockets
+        assert not any(sock.given_up for sock in sockets)
+    finally:
+        system.stop()
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 1000])
+def test_splitter_gives_the_same_events_however_bytes_are_split(size):
+    events = [
+        b"id: 1\ndata: a\n\n",
+        b"\n\n: comment\n\nid: 2\ndata: b\n\n",
+        b"\r\n\r\n\r\nid: 3\r\ndata: c\r\n\r\n",
+        b":x\n:y\n\n\ndata: d\n\n",
+    ]
+    data = b"".join(events) + b"\n\n: end"
+    splitter = _events.EventSplitter()
+    found = []
+    for start in range(0, len(data), size):
+        found += splitter.feed(data[start : start + size])
+    assert found == events
+    assert not splitter.within_event
+    assert bytes(splitter.buffer) == b"\n\n: end"
+    splitter.feed(b"\ndata: cut")
+    assert splitter.within_event
+
+
+def test_blank_lines_and_comments_count_towards_the_limit():
+    for filler in (b"\n", b"\r\n", b":\n\n"):
+        splitter = _events.EventSplitter()
+        with pytest.raises(_events.EventTooLargeError):
+            for _ in range(2 * _events.MAX_EVENT_BYTES // len(filler)):
+                splitter.feed(filler)
+
+
+def test_blank_lines_and_comments_of_a_stream_are_passed_on():
+    """A body is returned as the target sent it."""
+    parts = [b": hi\n\n", b"\n\nid: 1\ndata: a\n\n", b"\n: bye\n\n"]
+
+    def script(exchange):
+        stream_head(exchange)
+        for part in parts:
+            exchange.chunk(part)
+        exchange.chunk(b"")
+
+    with deploy.deployment(script) as system:
+        status, _, body, complete = system.ask("/stream/x")
+        assert (status, complete, body) == (200, True, b"".join(parts))
+
+
+def test_stream_of_blank_lines_goes_on_elsewhere():
+    """Guards against blank lines that count as events, thus as progress."""
+
+    def blank(exchange):
+        stream_head(exchange)
+        exchange.chunk(b"id: 1\ndata: a\n\n")
+        try:
+            while True:
+                eventlet.sleep(0.2)
+                exchange.chunk(b"\n\n:\n\n")
+        except OSError:
+            return
+
+    scripts = [blank, rest]
+
+    def script(exchange):
+        scripts.pop(0)(exchange)
+
+    with deploy.deployment(script, script) as system:
+        status, _, body, complete = system.ask("/stream/x")
+        assert (status, complete) == (200, True)
+        assert body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
--- a/zinniadyke/gateway/_caller_connection.py
+++ b/zinniadyke/gateway/_caller_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection: reads requests and writes responses in order."""
 
 from collections.abc import Callable
+import functools
 import http.client
 import logging
 import socket
@@ -18,6 +19,7 @@
 from zinniadyke.gateway import _request
 from zinniadyke.gateway import _request_parser
 from zinniadyke.gateway import _send_progress
+from zinniadyke import green_sockets
 from zinniadyke import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -385,7 +387,11 @@
                 self.parser.parsed.clear()
             if self.parser.ended:
                 # Keep reading, to detect that the caller disconnects.
-                while self.sock.recv(READ_BYTES):
+                while green_sockets.receive(
+                    self.sock,
+                    functools.partial(self.sock.fd.recv, READ_BYTES),
+                    timeout_s=None,
+                ):
                     pass
         except OSError as error:
             LOG.debug("caller connection lost", extra={"reason": str(error)})
--- a/zinniadyke/gateway/_load_listener.py
+++ b/zinniadyke/gateway/_load_listener.py
@@ -1,6 +1,7 @@
 """Subscribes to the agents' load reports and receives them."""
 
 from collections.abc import Callable
+import functools
 import logging
 import socket
 import time
@@ -13,6 +14,7 @@
 from zinniadyke.gateway import _cold_source
 from zinniadyke.gateway import _reservation
 from zinniadyke.gateway import _target_table
+from zinniadyke import green_sockets
 from zinniadyke import reports
 from zinniadyke import telemetry
 from zinniadyke import uptime
@@ -152,7 +154,13 @@
         """Receive and apply reports, forever."""
         while True:
             try:
-                data, (host_ip, _) = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, (host_ip, _) = green_sockets.receive(
+                    self.sock,
+                    functools.partial(
+                        self.sock.fd.recvfrom, MAX_DATAGRAM_BYTES
+                    ),
+                    timeout_s=None,
+                )
                 report = reports.decode(data)
             except (OSError, ValueError) as error:
                 LOG.warning(
--- a/zinniadyke/gateway/_response_relay.py
+++ b/zinniadyke/gateway/_response_relay.py
@@ -189,14 +189,21 @@
         timeout_s = min(
             self._response_timeout_s(), self.start_by - uptime.now_s()
         )
+        overdue = False
         try:
             while True:
                 remaining_s = self.call.remaining_s + _attempt.RESPONSE_GRACE_S
                 waited_s = time.monotonic() - waiting_since
+                limit_s = min(timeout_s - waited_s, remaining_s)
                 try:
-                    part = response.read_part(
-                        min(timeout_s - waited_s, remaining_s)
-                    )
+                    if overdue and limit_s <= 0 and not response.complete:
+                        raise _target_connection.SilentTargetError(
+                            "no event in time, although bytes arrive"
+                        )
+                    # What arrived while this process stood still is read once
+                    # more.
+                    overdue = limit_s <= 0
+                    part = response.read_part(limit_s)
                 except _target_connection.SilentTargetError:
                     slow = self.streaming and remaining_s > 0
                     if slow and not self.can_resume(self.call):
@@ -220,7 +227,7 @@
         except _target_connection.BrokenResponseError as error:
             attempt.mark_broken(error)
             return
-        if splitter.remainder:
+        if splitter.within_event:
             attempt.mark_broken(
                 _target_connection.BrokenResponseError(
                     "the stream ended within an event"
@@ -238,8 +245,8 @@
                 )
             )
             return
-        if not self.streaming:
-            self._relay_part(attempt, b"")
+        if splitter.buffer or not self.streaming:
+            self._relay_part(attempt, bytes(splitter.buffer))
         self.caller.end_stream()
         attempt.outcome = _call.Outcome.ANSWERED
 
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -25,6 +25,8 @@
 LOG = logging.getLogger(__name__)
 
 READ_BYTES = 16384
+# Largest read of a stream, whose bytes are split into events in one turn.
+STREAM_READ_BYTES = 4096
 # Lower statuses are interim responses.
 MIN_FINAL_STATUS = 200
 BODILESS = (204, 304)
@@ -189,7 +191,7 @@
                 self._receive(timeout_s)
 
     def read_part(self, timeout_s: float) -> bytes:
-        """Return the next part of the body; empty after the last one.
+        """Return what has arrived of the body; empty after the last part.
 
         Raises
         ------
@@ -207,9 +209,11 @@
             if received and remaining_s <= 0:
                 # Bytes that are no body do not count as progress.
                 raise SilentTargetError("only framing arrived in time")
-            self._receive(remaining_s)
+            self._receive(remaining_s, STREAM_READ_BYTES)
             received = True
-        return self.parts.popleft()
+        part = b"".join(self.parts)
+        self.parts.clear()
+        return part
 
     def read_body(self, timeout_s: float) -> bytes:
         """Return the complete body.
@@ -267,11 +271,11 @@
                 "framing" if self.head_complete else "head", self.address
             )
 
-    def _receive(self, timeout_s: float) -> None:
+    def _receive(self, timeout_s: float, size: int = READ_BYTES) -> None:
         try:
             data = green_sockets.receive(
                 self.sock,
-                functools.partial(self.sock.fd.recv, READ_BYTES),
+                functools.partial(self.sock.fd.recv, size),
                 max(timeout_s, 0.001),
             )
         except TimeoutError as error:
--- a/zinniadyke/listening.py
+++ b/zinniadyke/listening.py
@@ -1,12 +1,16 @@
 """Listening sockets, and whether another process listens."""
 
+import functools
 import socket
+import weakref
 
 import eventlet
 from eventlet.green import socket as green_socket
 from eventlet import greenio
 from eventlet import hubs
 
+from zinniadyke import green_sockets
+
 # A host that answers does so within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
 
@@ -15,7 +19,8 @@
     """Listen on ``ip:port``; port 0 selects a free port.
 
     Accepted connections send small writes at once (TCP_NODELAY). Otherwise
-    tokens of a stream wait up to 40 ms for the peer's acknowledgement.
+    tokens of a stream wait up to 40 ms for the peer's acknowledgement. Files
+    made from them let others run while bytes arrive.
 
     Raises
     ------
@@ -25,9 +30,19 @@
     host, _, port = address.rpartition(":")
     listener = eventlet.listen((host, int(port)), reuse_port=False)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # A reference to itself would keep a socket open that nobody uses.
+    listener.accept = functools.partial(_accept, weakref.ref(listener))
     return listener
 
 
+def _accept(
+    listener: weakref.ref[greenio.GreenSocket],
+) -> tuple[socket.socket, object]:
+    sock, address = greenio.GreenSocket.accept(listener())
+    green_sockets.take_turns(sock)
+    return sock, address
+
+
 def accept_now(listening: greenio.GreenSocket) -> socket.socket | None:
     """Return a connection that is established by now; None if none is."""
     try:
--- a/zinniadyke/sidecar/_load_reporter.py
+++ b/zinniadyke/sidecar/_load_reporter.py
@@ -1,6 +1,7 @@
 """Reads the target's load and reports it to subscribed entries."""
 
 from collections.abc import Callable
+import functools
 import logging
 import math
 import socket
@@ -12,6 +13,7 @@
 
 from zinniadyke import directory
 from zinniadyke import errors
+from zinniadyke import green_sockets
 from zinniadyke import platform
 from zinniadyke import reports
 from zinniadyke import uptime
@@ -99,7 +101,13 @@
         """Receive datagrams and pass them to their handlers, forever."""
         while True:
             try:
-                data, sender = self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, sender = green_sockets.receive(
+                    self.sock,
+                    functools.partial(
+                        self.sock.fd.recvfrom, MAX_DATAGRAM_BYTES
+                    ),
+                    timeout_s=None,
+                )
                 message = reports.decode(data)
             except (OSError, ValueError) as error:
                 LOG.warning(
