Heads of answers are bounded with their interim answers

Change: all lines of a head, with the interim answers before it, are at most 64 KiB, as for targets.

--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -1,12 +1,18 @@
 """Answers without end, to the clients that read whole answers."""
 
+import socket
+
 import eventlet
+from eventlet import greenio
 import pytest
 import urllib3
+from urllib3.util import connection as urllib3_connection
 
+from tests import endless as endless_source
 from zinniadyke import bounded_http
 from zinniadyke import errors
 from zinniadyke import fakes
+from zinniadyke import http_pools
 from zinniadyke import platform
 from zinniadyke.platform import _store
 from zinniadyke.sidecar import _peer_client
@@ -117,3 +123,78 @@
         peer.piece(host, store, 0, size_bytes=8192, throttle=lambda size: None)
         is None
     )
+
+
+class EndlessConnection(greenio.GreenSocket):
+    """Connection to a server that takes all and sends without end."""
+
+    def __init__(self, source):
+        ours, self.theirs = socket.socketpair()
+        super().__init__(ours)
+        self.fd = endless_source.FloodedSocket(self.fd, source)
+
+    def sendall(self, data, flags=0):
+        pass
+
+
+FLOODS = {
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 256),
+    "status line": (b"HTTP/1.1 200 ", BLOCK),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X: 1\r\n" * 256),
+    "header": (b"HTTP/1.1 200 OK\r\nX: ", BLOCK),
+    "empty lines": (b"", b"\r\n" * 2048),
+    "chunk extension": (CHUNKED + b"1;e=", BLOCK),
+    "chunks of one byte": (CHUNKED, b"1\r\nx\r\n" * 1024),
+    "trailers": (CHUNKED + b"0\r\n", b"X: 1\r\n" * 256),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", BLOCK),
+}
+
+
+def flood_calls(flood, monkeypatch):
+    """Have each call meet a flood; return its source."""
+    source = endless_source.EndlessSource(*FLOODS[flood])
+    monkeypatch.setattr(
+        urllib3_connection,
+        "create_connection",
+        lambda *args, **options: EndlessConnection(source),
+    )
+    return source
+
+
+def call_flooded(total_s):
+    bounded_http.request(
+        http_pools.connection_pool("127.0.0.1", 1, maxsize=1),
+        "GET",
+        "/",
+        max_bytes=64 << 20,
+        total_s=total_s,
+        timeout=urllib3.Timeout(connect=1.0, read=1.0),
+    )
+
+
+@pytest.mark.parametrize("flood", FLOODS)
+def test_flood_ends_and_leaves_others_their_turn(flood, monkeypatch):
+    """Guards against a server whose bytes stop a whole process."""
+    source = flood_calls(flood, monkeypatch)
+    turns_of_others = []
+
+    def other():
+        while True:
+            eventlet.sleep(0.01)
+            turns_of_others.append(source.reads)
+
+    task = eventlet.spawn(other)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        call_flooded(total_s=0.5)
+    task.kill()
+    assert not source.given_up
+    if source.reads > 1000:
+        assert len(turns_of_others) > 1
+
+
+def test_interim_answers_count_towards_the_limit_of_a_head(monkeypatch):
+    """Guards against interim answers that use a core until the time limit."""
+    source = flood_calls("interim answers", monkeypatch)
+    with pytest.raises(urllib3.exceptions.HTTPError, match="limit of 65536"):
+        call_flooded(total_s=60.0)
+    assert not source.given_up
--- a/zinniadyke/http_pools.py
+++ b/zinniadyke/http_pools.py
@@ -1,9 +1,11 @@
-"""urllib3 pools that take no answer that was cut off for a whole one.
+"""urllib3 pools that take only a whole answer, with a bounded head.
 
 ``http.client`` reads the head of an answer up to an empty line or to the end
 of the connection. A head that ends early may lack the length of the body,
 and would then stand for an answer with an empty body. A reset, which
 eventlet hides, would stand for the end of a body without a length.
+
+It also reads interim answers without end.
 """
 
 import http.client
@@ -15,10 +17,18 @@
 from zinniadyke import green_sockets
 
 
+# Largest head, with all interim answers before it.
+MAX_HEAD_BYTES = 65536
+
+
 class CutOffHeadError(http.client.HTTPException):
     """The connection ended within the head of an answer."""
 
 
+class HeadTooLargeError(http.client.HTTPException):
+    """The head of an answer, with interim answers, exceeds the limit."""
+
+
 class _HeadFile:
     """File of a connection from which only whole lines are read.
 
@@ -26,11 +36,14 @@
     ----------
     begun
         Whether a line was read.
+    read_bytes
+        Number of bytes that were read.
     """
 
     def __init__(self, file) -> None:
         self.file = file
         self.begun = False
+        self.read_bytes = 0
 
     def readline(self, limit: int) -> bytes:
         """Return a line.
@@ -40,12 +53,19 @@
         CutOffHeadError
             The connection ended within the line, or before it although the
             head had begun.
+        HeadTooLargeError
+            All lines together exceed ``MAX_HEAD_BYTES``.
         """
         line = self.file.readline(limit)
         cut_off = not line.endswith(b"\n") and len(line) < limit
         if cut_off and (line or self.begun):
             raise CutOffHeadError("the connection ended within the head")
         self.begun = True
+        self.read_bytes += len(line)
+        if self.read_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLargeError(
+                f"the head exceeds the limit of {MAX_HEAD_BYTES} bytes"
+            )
         return line
 
     def close(self) -> None:
@@ -53,7 +73,7 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """Answer whose head must be whole."""
+    """Answer whose head must be whole and bounded."""
 
     def begin(self) -> None:
         file = self.fp
