Answers whose status does not exist are broken

Here 000 to 099 counted as interim answers, so that what followed was taken for the answer, and 600 to 999 reached callers, on the platform's path and on the own interface. Cause: the parsers accept any three digits, and nothing checked them. Change: final answers have 200 to 599, interim ones 100 to 199; others break the attempt at once, as the request may have run. The same in the urllib3 clients, where 101 is refused too.

--- a/tests/agent/test_engine_client.py
+++ b/tests/agent/test_engine_client.py
@@ -134,3 +134,18 @@
     with pytest.raises(errors.EngineError, match="timed out"):
         client.run("POST", "/x", {}, b"text", 0.1)
     server.stop()
+
+
+@pytest.mark.parametrize("status", ["000", "600", "999"])
+def test_status_that_does_not_exist_is_no_answer(status):
+    """Guards against an answer whose status is none, as 000 (MIXED)."""
+    server = fakes.ScriptedTarget(
+        script=lambda e: e.send(
+            f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+        )
+    )
+    client = engine.EngineClient(url=f"http://{server.address}")
+    with pytest.raises(errors.EngineError) as failure:
+        client.run("POST", "/x", {}, b"text", 5.0)
+    server.stop()
+    assert failure.value.code is errors.ResultCode.OUTCOME_UNKNOWN
--- a/tests/gateway/test_reported_failures.py
+++ b/tests/gateway/test_reported_failures.py
@@ -51,6 +51,33 @@
             eventlet.sleep(0.01)
 
 
+@pytest.mark.parametrize("status", [0, 42, 99, 600, 999])
+@pytest.mark.parametrize("path", ["/once/x", "/stream-once/x"])
+def test_status_that_does_not_exist_is_no_answer(status, path):
+    """Guards against an answer whose status is none, as 000 (MIXED)."""
+
+    def script(exchange):
+        exchange.send(
+            b"HTTP/1.1 %03d X\r\nX-Zinniadyke-Request-Id: r1\r\n"
+            b"X-Zinniadyke-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+            % status
+        )
+        # Not an interim answer either.
+        exchange.answer(200, b"second")
+        eventlet.sleep(1.0)
+
+    with deploy.deployment(script) as system:
+        answer = system.ask(path)
+        assert answer[0] == 502
+        assert b"status %d" % status in answer[2]
+
+
+@pytest.mark.parametrize("status", [200, 226, 299, 302, 399, 404, 499, 599])
+def test_status_that_exists_is_passed_on(status):
+    with deploy.deployment(lambda e: e.answer(status, b"x")) as system:
+        assert system.ask("/once/x")[0] == status
+
+
 class DoublingServer:
     """A model server that answers the first call twice, the copy late."""
 
--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -198,3 +198,15 @@
     with pytest.raises(urllib3.exceptions.HTTPError, match="limit of 65536"):
         call_flooded(total_s=60.0)
     assert not source.given_up
+
+
+@pytest.mark.parametrize("status", ["000", "042", "101", "600", "999"])
+def test_answer_with_a_status_that_does_not_exist_is_refused(server, status):
+    """Guards against an answer whose status is none (MIXED)."""
+    server.script = lambda e: e.send(
+        f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+    )
+    host, _, port = server.address.rpartition(":")
+    pool = http_pools.connection_pool(host, int(port), maxsize=1)
+    with pytest.raises(urllib3.exceptions.HTTPError, match="(?i)status"):
+        bounded_http.request(pool, "GET", "/", max_bytes=100, total_s=2.0)
--- a/zinniadyke/gateway/_target_connection.py
+++ b/zinniadyke/gateway/_target_connection.py
@@ -27,8 +27,10 @@
 READ_BYTES = 16384
 # Largest read of a stream, whose bytes are split into events in one turn.
 STREAM_READ_BYTES = 4096
-# Lower statuses are interim responses.
+# Statuses that exist (RFC 9110, 15); those below 200 are interim responses.
+MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 BODILESS = (204, 304)
 # Largest head, with all interim responses before it.
 MAX_HEAD_BYTES = 65536
@@ -70,6 +72,8 @@
     ----------
     status
         Status of the response; 0 before it is known.
+    invalid_status
+        Status of a response that may have none such; None if none came.
     sent
         Whether a byte of the request may have reached the target.
     answers
@@ -95,6 +99,7 @@
         self.sent = False
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
+        self.invalid_status: int | None = None
         self.reason = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_complete = False
@@ -294,8 +299,12 @@
             raise BrokenResponseError("the target switched protocols")
         except httptools.HttpParserError as error:
             # Bytes after a complete response belong to no request.
-            if not self.complete:
+            if not self.complete and self.invalid_status is None:
                 raise BrokenResponseError(f"not HTTP: {error}")
+        if self.invalid_status is not None:
+            raise BrokenResponseError(
+                f"not HTTP: status {self.invalid_status}"
+            )
         self._check_framing()
 
     def on_status(self, reason: bytes) -> None:
@@ -310,9 +319,12 @@
 
     def on_headers_complete(self) -> None:
         """Store the status of a final response (called by httptools)."""
-        if self.head_complete:
+        if self.head_complete or self.invalid_status is not None:
             return
         status = self.parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self.invalid_status = status
+            return
         if status < MIN_FINAL_STATUS:
             self.headers = []
             return
--- a/zinniadyke/http_pools.py
+++ b/zinniadyke/http_pools.py
@@ -8,6 +8,7 @@
 It also reads interim answers without end.
 """
 
+import http
 import http.client
 import socket
 
@@ -19,6 +20,10 @@
 
 # Largest head, with all interim answers before it.
 MAX_HEAD_BYTES = 65536
+# Statuses that an answer may have (RFC 9110, 15). After one that switches
+# protocols, no answer follows.
+MIN_STATUS = 100
+MAX_STATUS = 599
 
 
 class CutOffHeadError(http.client.HTTPException):
@@ -29,6 +34,10 @@
     """The head of an answer, with interim answers, exceeds the limit."""
 
 
+class InvalidStatusError(http.client.HTTPException):
+    """The status is none that an answer may have."""
+
+
 class _HeadFile:
     """File of a connection from which only whole lines are read.
 
@@ -73,7 +82,7 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """Answer whose head must be whole and bounded."""
+    """Answer whose head must be whole, bounded and of an existing status."""
 
     def begin(self) -> None:
         file = self.fp
@@ -85,6 +94,15 @@
             if self.fp is not None:
                 self.fp = file
 
+    def _read_status(self) -> tuple[str, int, str]:
+        version, status, reason = super()._read_status()
+        if (
+            not MIN_STATUS <= status <= MAX_STATUS
+            or status == http.HTTPStatus.SWITCHING_PROTOCOLS
+        ):
+            raise InvalidStatusError(f"status {status}")
+        return version, status, reason
+
 
 class _Connection(connection.HTTPConnection):
     """Connection whose answers must have a whole head, and no reset."""
