Clients read past all interim answers

A call to the store, a model server, the origin, an engine or another agent got an interim answer other than 100 as its answer, with an empty body, and the real answer stayed unread on the kept connection. Cause: http.client reads past 100 only. Change: the status of any interim answer is passed to it as 100, within the limit of the head.

--- a/tests/test_bounded_http.py
+++ b/tests/test_bounded_http.py
@@ -139,6 +139,7 @@
 
 FLOODS = {
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 256),
+    "other interim answers": (b"", b"HTTP/1.1 102 \r\nA: b\r\n\r\n" * 256),
     "status line": (b"HTTP/1.1 200 ", BLOCK),
     "header lines": (b"HTTP/1.1 200 OK\r\n", b"X: 1\r\n" * 256),
     "header": (b"HTTP/1.1 200 OK\r\nX: ", BLOCK),
@@ -210,3 +211,36 @@
     pool = http_pools.connection_pool(host, int(port), maxsize=1)
     with pytest.raises(urllib3.exceptions.HTTPError, match="(?i)status"):
         bounded_http.request(pool, "GET", "/", max_bytes=100, total_s=2.0)
+
+
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_interim_answer_does_not_stand_for_the_final_one(server, status):
+    """Guards against a call that gets the answer of the one before it."""
+
+    def script(exchange):
+        exchange.send(f"HTTP/1.1 {status} Wait\r\nA: b\r\n\r\n".encode())
+        exchange.answer(200, b"whole")
+
+    server.script = script
+    host, _, port = server.address.rpartition(":")
+    pool = http_pools.connection_pool(host, int(port), maxsize=1)
+    answer = bounded_http.request(pool, "GET", "/", max_bytes=100, total_s=2.0)
+    assert (answer.status, answer.data) == (200, b"whole")
+
+
+def test_call_does_not_get_the_answer_of_the_call_before(server):
+    """Guards against a final answer that is left on a kept connection."""
+    bodies = [b"first", b"second"]
+
+    def script(exchange):
+        exchange.send(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+        exchange.answer(200, bodies.pop(0))
+
+    server.script = script
+    host, _, port = server.address.rpartition(":")
+    pool = http_pools.connection_pool(host, int(port), maxsize=1)
+    for body in (b"first", b"second"):
+        answer = bounded_http.request(
+            pool, "GET", "/", max_bytes=100, total_s=2.0
+        )
+        assert (answer.status, answer.data) == (200, body)
--- a/zinniadyke/http_pools.py
+++ b/zinniadyke/http_pools.py
@@ -5,7 +5,9 @@
 and would then stand for an answer with an empty body. A reset, which
 eventlet hides, would stand for the end of a body without a length.
 
-It also reads interim answers without end.
+It also reads interim answers without end, and takes those that it does not
+know for the final answer, so that the next call on the connection could get
+the answer of this one.
 """
 
 import http
@@ -20,9 +22,10 @@
 
 # Largest head, with all interim answers before it.
 MAX_HEAD_BYTES = 65536
-# Statuses that an answer may have (RFC 9110, 15). After one that switches
-# protocols, no answer follows.
+# Statuses that exist (RFC 9110, 15); those below 200 are interim answers.
+# After one that switches protocols, no answer follows.
 MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 MAX_STATUS = 599
 
 
@@ -101,6 +104,9 @@
             or status == http.HTTPStatus.SWITCHING_PROTOCOLS
         ):
             raise InvalidStatusError(f"status {status}")
+        if status < MIN_FINAL_STATUS:
+            # The only one that the library reads past.
+            return version, http.HTTPStatus.CONTINUE, reason
         return version, status, reason
 
 
