Own interface: answers of engines and origins are bounded

Reported by other operators: a server sent bytes without end, and the machine that had called it ran out of memory, with other clients' requests. Here an agent read reports, answers to orders and objects of the origin without a limit, and passed an engine's answer on to its entry, which keeps it. Cause: urllib3 reads a body of any size, and these clients did not use the bounded calls of the platform's clients. Change: they do; answers to requests are at most 4 MiB. On the platform's path heads and bodies were bounded before (tests/gateway/test_endless_answers.py).

--- a/tests/agent/test_engine_client.py
+++ b/tests/agent/test_engine_client.py
@@ -3,10 +3,14 @@
 import eventlet
 import pytest
 
+from tests.gateway import deployment as deploy
 from zinniadyke import engine
+from zinniadyke.engine import _client
 from zinniadyke import errors
 from zinniadyke import fakes
 from zinniadyke import ids
+from zinniadyke import origin
+from zinniadyke.origin import _client as origin_client
 
 LATE_S = 0.05
 ANSWER = b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%b"
@@ -149,3 +153,61 @@
         client.run("POST", "/x", {}, b"text", 5.0)
     server.stop()
     assert failure.value.code is errors.ResultCode.OUTCOME_UNKNOWN
+
+
+def endless(exchange):
+    """Send a body without end."""
+    exchange.head(200)
+    try:
+        while True:
+            exchange.send(b"x" * 65536)
+            exchange.sent = getattr(exchange, "sent", 0) + 65536
+            eventlet.sleep(0)
+    except OSError:
+        exchange.cut = True
+
+
+def check_cut(server):
+    """Check that an endless answer was cut off at its limit."""
+    assert deploy.wait_until(lambda: getattr(server.seen[0], "cut", False))
+    # What the kernel's buffers hold comes on top of the limit.
+    assert server.seen[0].sent < 24 << 20
+
+
+def test_answer_without_end_is_broken_off_at_the_limit():
+    """Guards against an engine that fills the memory of agent and entry."""
+    server = fakes.ScriptedTarget(script=endless)
+    client = engine.EngineClient(url=f"http://{server.address}")
+    made = client.run("POST", "/x", {}, b"text", 5.0)
+    size = 0
+    with pytest.raises(errors.EngineError) as failure:
+        for part in made.parts:
+            size += len(part)
+    assert failure.value.code is errors.ResultCode.STREAM_BROKEN
+    assert size <= _client.MAX_ANSWER_BYTES
+    check_cut(server)
+    server.stop()
+
+
+def test_state_and_order_without_end_are_broken_off():
+    for call in (
+        lambda client: client.state(),
+        lambda client: client.load("m/1", [b"x"], 1, ids.FencingNumber(1)),
+    ):
+        server = fakes.ScriptedTarget(script=endless)
+        client = engine.EngineClient(url=f"http://{server.address}")
+        with pytest.raises(errors.EngineError, match="limit of"):
+            call(client)
+        check_cut(server)
+        server.stop()
+
+
+@pytest.mark.parametrize("size", [None, 1000])
+def test_object_of_the_origin_without_end_is_broken_off(size, monkeypatch):
+    monkeypatch.setattr(origin_client, "MAX_OBJECT_BYTES", 1 << 20)
+    server = fakes.ScriptedTarget(script=endless)
+    client = origin.OriginClient()
+    with pytest.raises(errors.WeightsError, match="limit of"):
+        client.read(f"http://{server.address}/m", size=size)
+    check_cut(server)
+    server.stop()
--- a/zinniadyke/engine/_client.py
+++ b/zinniadyke/engine/_client.py
@@ -10,14 +10,23 @@
 import msgspec
 import urllib3
 
+from zinniadyke import bounded_http
 from zinniadyke import decoding
 from zinniadyke import errors
 from zinniadyke import http_pools
 from zinniadyke import ids
+from zinniadyke import telemetry
 
 STATE_TIMEOUT_S = 2.0
 LOAD_TIMEOUT_S = 600.0
+# Time limit of a whole order, with sending the weights.
+MAX_LOAD_S = 3600.0
 READ_BYTES = 16384
+# Largest answer to a report or an order.
+MAX_STATE_BYTES = 1 << 20
+# Largest answer to a request, also of a stream. The agent and the entry hold
+# it if the caller reads slowly.
+MAX_ANSWER_BYTES = 4 << 20
 
 
 class EngineState(msgspec.Struct, frozen=True, kw_only=True):
@@ -80,8 +89,13 @@
             The engine did not answer, or the answer is invalid.
         """
         try:
-            answer = self.state_pool.request(
-                "GET", self.url + "/v1/state", timeout=STATE_TIMEOUT_S
+            answer = bounded_http.request(
+                self.state_pool,
+                "GET",
+                self.url + "/v1/state",
+                max_bytes=MAX_STATE_BYTES,
+                total_s=2 * STATE_TIMEOUT_S,
+                timeout=STATE_TIMEOUT_S,
             )
             if answer.status != 200:
                 raise errors.EngineError(
@@ -118,9 +132,12 @@
         """
         pool = _make_pool()
         try:
-            answer = pool.request(
+            answer = bounded_http.request(
+                pool,
                 "PUT",
                 f"{self.url}/v1/weights/{name}",
+                max_bytes=MAX_STATE_BYTES,
+                total_s=MAX_LOAD_S,
                 body=parts,
                 headers={
                     "Content-Length": str(size),
@@ -196,8 +213,19 @@
 
 
 def _read_body(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    size = 0
     try:
         while part := answer.read1(READ_BYTES):
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                telemetry.count(
+                    telemetry.Metric.ANSWERS_OVER_LIMIT, label="engine"
+                )
+                answer.close()
+                raise errors.EngineError(
+                    f"the answer exceeds {MAX_ANSWER_BYTES} bytes",
+                    code=errors.ResultCode.STREAM_BROKEN,
+                )
             yield part
     except urllib3.exceptions.HTTPError as error:
         raise errors.EngineError(
--- a/zinniadyke/origin/_client.py
+++ b/zinniadyke/origin/_client.py
@@ -3,11 +3,18 @@
 import msgspec
 import urllib3
 
+from zinniadyke import bounded_http
 from zinniadyke import errors
 from zinniadyke import http_pools
 
 READ_TIMEOUT_S = 60.0
+# Time limit of a whole read over a narrow link.
+MAX_READ_S = 600.0
 MAX_CONNECTIONS = 16
+# Largest whole object, a manifest; some 900,000 chunks.
+MAX_OBJECT_BYTES = 64 << 20
+# Answers that report an error may be larger than the range that was asked for.
+MIN_LIMIT_BYTES = 65536
 
 
 class OriginRange(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,8 +66,18 @@
         if etag:
             headers["If-Match"] = etag
         try:
-            response = self.pool.request(
-                "GET", url, headers=headers, timeout=self.read_timeout_s
+            response = bounded_http.request(
+                self.pool,
+                "GET",
+                url,
+                max_bytes=(
+                    MAX_OBJECT_BYTES
+                    if size is None
+                    else max(size, MIN_LIMIT_BYTES)
+                ),
+                total_s=MAX_READ_S,
+                headers=headers,
+                timeout=self.read_timeout_s,
             )
         except urllib3.exceptions.HTTPError as error:
             raise _unavailable_error(f"cannot read {url}: {error}")
