A registration needs a cold time that is a number

Cause: the cold time was read apart from the other fields, so that one of another type, or none, did not invalidate the entry. Change: it must be there and be a number; one out of range is ignored as before. The stage and the adapters must be of their type.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -151,6 +151,7 @@
             "slots": 4,
             "version": "v1",
             "state": "ready",
+            "cold_remaining_ms": 0,
             "seq": 1,
             **overrides,
         }
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -89,6 +89,7 @@
             "slots": self.slots,
             "version": "v1",
             "state": "ready",
+            "cold_remaining_ms": 0,
             "seq": 1,
             "born": self.born_ms,
         }
--- a/tests/gateway/test_frozen_entry.py
+++ b/tests/gateway/test_frozen_entry.py
@@ -57,6 +57,7 @@
         "slots": 4,
         "version": "v1",
         "state": "ready",
+        "cold_remaining_ms": 0,
         "seq": 1,
     }
     store.put("config", "main", deploy.configuration())
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -186,6 +186,7 @@
             "slots": 4,
             "version": "v1",
             "state": "ready",
+            "cold_remaining_ms": 0,
             "seq": 1,
         },
     )
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -68,6 +68,16 @@
     "no slots": entry(slots=""),
     "no software version": entry(version=""),
     "no number of changes": entry(seq=""),
+    "no cold time": entry(cold_remaining_ms=""),
+    "cold time of another type": entry(cold_remaining_ms='"none"'),
+    "stage of another type": entry(stage="1"),
+    "adapters of another type": entry(
+        models='[{"name":"m","version":1,"adapters":"a"}]'
+    ),
+    "software version of another type": entry(version="1"),
+    "models of another type": entry(models='{"m":1}'),
+    "layers of another type": entry(layers="[0,8]"),
+    "start of another type": entry(born='"today"'),
     "unknown state": entry(state='"resting"'),
     "no object": '"i-1"',
     "control character": entry(note='"\x01"'),
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -45,6 +45,7 @@
         "state": "ready",
         "version": "v1",
         "slots": 4,
+        "cold_remaining_ms": 0,
         "seq": 1,
         "born": 1000,
         **more,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -33,6 +33,7 @@
         "version": '"v1"',
         "slots": "4",
         "state": '"ready"',
+        "cold_remaining_ms": "0",
         "seq": "1",
         **more,
     }
@@ -166,6 +167,7 @@
                 "version": "v1",
                 "slots": 4,
                 "state": "ready",
+                "cold_remaining_ms": 0,
                 "seq": 1,
             }
             store.put("servers", f"t{number}", spec)
--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -80,6 +80,7 @@
                 "slots": 4,
                 "version": "v1",
                 "state": "ready",
+                "cold_remaining_ms": 0,
                 "seq": 1,
                 "models": models,
             },
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -52,6 +52,7 @@
     "state": "ready",
     "version": "v1",
     "slots": 4,
+    "cold_remaining_ms": 0,
     "seq": 1,
     "born": 1,
     "models": [{"name": "m", "version": 1}],
--- a/zinniadyke/bench/_restart.py
+++ b/zinniadyke/bench/_restart.py
@@ -281,6 +281,7 @@
                 "slots": 500,
                 "version": "v1",
                 "state": "ready",
+                "cold_remaining_ms": 0,
                 "seq": 1,
             }
             self.store.put("servers", f"t{number}", registration)
--- a/zinniadyke/platform/_cold_time.py
+++ b/zinniadyke/platform/_cold_time.py
@@ -3,6 +3,7 @@
 import functools
 import logging
 import math
+import re
 
 import msgspec
 
@@ -15,6 +16,8 @@
 
 MS_PER_S = 1000.0
 MAX_LOGGED_CHARS = 40
+# Begin of a number in JSON.
+NUMBER = re.compile(rb"-?[0-9]")
 # Registrations whose unusable time is remembered, so that it is logged once
 # and not with each heartbeat.
 MAX_LOGGED = 1024
@@ -37,19 +40,25 @@
 
 
 def decode_cold(value: bytes, target: ids.TargetId) -> float | None:
-    """Return the seconds in a registration; None if missing or unusable.
+    """Return the seconds in a registration; None if out of range.
 
     Parameters
     ----------
     value
-        Milliseconds in JSON; empty or null if missing.
+        Milliseconds in JSON.
+
+    Raises
+    ------
+    ValueError
+        The value is no number.
     """
-    if value in (b"", b"null"):
-        return None
+    if not NUMBER.match(value):
+        raise ValueError("cold_remaining_ms is no number")
     try:
         milliseconds = msgspec.json.decode(value, type=float)
     except decoding.UNREADABLE:
-        milliseconds = math.nan
+        # Too large for a float.
+        milliseconds = math.inf
     if not 0 <= milliseconds < math.inf:
         _log_unusable(target, value[:MAX_LOGGED_CHARS])
         return None
--- a/zinniadyke/platform/_decode_target.py
+++ b/zinniadyke/platform/_decode_target.py
@@ -23,6 +23,7 @@
 
     name: str
     version: Count = 0
+    adapters: list = []
 
 
 class HeldLayers(msgspec.Struct, rename={"start": "from"}):
@@ -43,11 +44,14 @@
     # holds. Neither is used, but without them another writer left the entry.
     version: str
     seq: Count
+    # Any number, as one that is out of range does not invalidate the
+    # registration.
+    cold_remaining_ms: msgspec.Raw
+    # Not used, but another writer may have left one of another type.
+    stage: str = ""
     born: Count = 0
     models: list[HeldModel] = []
     layers: HeldLayers | None = None
-    # Of any type, as an unusable time does not invalidate the registration.
-    cold_remaining_ms: msgspec.Raw = msgspec.Raw()
 
 
 class _DesiredWeights(msgspec.Struct):
