Metrics: series are bounded, and times kept by service

Cause: two histograms for each pair of workspace and route, kept for good, of names that come from configurations without end; reading them all kept the process from its other work for over a second. Change: times are kept by workspace and service; a metric has at most max_series series, beyond which an idle one gives way or new labels count together; others run after each metric of a reading. OPERATIONS' place for the times of routes stays the log.

--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -2,9 +2,11 @@
 import pathlib
 import re
 
+import pytest
 import urllib3
 
 from tests import clock
+from tests.gateway import deployment as deploy
 from zinniadyke import telemetry
 from zinniadyke.telemetry import _exposition
 from zinniadyke.telemetry import _line_writer
@@ -51,6 +53,81 @@
     assert f"zinniadyke_request_time_{bucket}" in text
 
 
+@pytest.fixture
+def exposition(monkeypatch):
+    manual_clock = clock.Clock()
+    monkeypatch.setattr(_exposition.time, "monotonic", manual_clock.monotonic)
+    made = _exposition.Exposition(address="127.0.0.1:0", max_series=10)
+    made.clock = manual_clock
+    yield made
+    made.stop()
+
+
+def labels(exposition):
+    """Return the labels of a metric that are served."""
+    return re.findall(
+        r'^zinniadyke_\w+_count\{label="(\w+)"',
+        exposition._encode().decode(),
+        re.M,
+    )
+
+
+def test_new_series_beyond_the_limit_count_together(exposition, caplog):
+    """Guards against names of configurations that fill the memory."""
+    for number in range(1000):
+        exposition.timing("request_time", 0.1, f"r{number}")
+    assert labels(exposition) == [*(f"r{n}" for n in range(10)), "other"]
+    text = exposition._encode().decode()
+    assert 'request_time_seconds_count{label="other"} 990.0' in text
+    exposition.timing("request_time", 0.1, "r3")
+    text = exposition._encode().decode()
+    assert 'request_time_seconds_count{label="r3"} 2.0' in text
+    assert [r.message for r in caplog.records] == [
+        "metric has too many series"
+    ]
+
+
+def test_idle_series_gives_way_to_a_new_one(exposition):
+    for number in range(10):
+        exposition.timing("request_time", 0.1, f"r{number}")
+    exposition.clock.now += _exposition.IDLE_SERIES_S
+    exposition.timing("request_time", 0.1, "r0")
+    exposition.timing("request_time", 0.1, "new")
+    assert "new" in labels(exposition)
+    assert "r0" in labels(exposition)
+    assert "r1" not in labels(exposition)
+    assert len(labels(exposition)) == 10
+
+
+def test_others_run_while_metrics_are_encoded(exposition, monkeypatch):
+    for name in ("a", "b", "c"):
+        exposition.count(name, 1, "x")
+    turns = []
+    monkeypatch.setattr(_exposition.eventlet, "sleep", turns.append)
+    exposition._encode()
+    assert len(turns) == 3
+
+
+def test_times_are_kept_by_service_and_not_by_route(monkeypatch):
+    """Guards against a series for each pair of workspace and route."""
+    timed = []
+
+    class Sink:
+        def count(self, *args):
+            """Ignore the counter."""
+
+        gauge = count
+
+        def timing(self, name, seconds, label):
+            timed.append((name, label))
+
+    monkeypatch.setattr(_metrics._Sink, "exposition", Sink())
+    with deploy.deployment(lambda e: e.answer(200, b"ok")) as system:
+        for path in ("/once/x", "/again/x"):
+            assert system.ask(path)[0] == 200
+    assert set(timed) == {("request_time", "clinic.desk")}
+
+
 def test_log_lines_over_rate_limit_are_dropped_and_counted():
     manual_clock = clock.Clock()
     reader, writer_fd = os.pipe()
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -474,7 +474,8 @@
             "ms": math.ceil(took_s * MS_PER_S),
         }
         if call is not None:
-            label = f"{call.workspace}.{call.route.name}"
+            # Not by route: a configuration may have thousands.
+            label = f"{call.workspace}.{call.service}"
             telemetry.timing(telemetry.Metric.REQUEST_TIME, took_s, label)
             if call.first_part_at is not None:
                 telemetry.timing(
--- a/zinniadyke/settings/_platform_host.py
+++ b/zinniadyke/settings/_platform_host.py
@@ -1,5 +1,9 @@
 """Settings of a gateway or sidecar on the users' platform."""
 
+import typing
+
+import msgspec
+
 from zinniadyke.settings import _schema
 
 
@@ -56,9 +60,19 @@
 
 
 class MetricsSection(_schema.Section):
-    """Address that serves metrics, as ``ip:port``; empty to disable."""
+    """Metrics served over HTTP.
+
+    Attributes
+    ----------
+    address
+        ``ip:port`` to listen on; empty to disable.
+    max_series
+        Number of series that one metric may have. Beyond it, new labels
+        count together as ``other``.
+    """
 
     address: str = ""
+    max_series: typing.Annotated[int, msgspec.Meta(ge=1)] = 300
 
 
 class BoundsSection(_schema.Section):
--- a/zinniadyke/telemetry/_metrics.py
+++ b/zinniadyke/telemetry/_metrics.py
@@ -87,9 +87,14 @@
     _Sink.client = statsd.StatsClient(host, port, prefix=prefix)
 
 
-def serve_metrics(address: str) -> None:
+def serve_metrics(address: str, max_series: int) -> None:
     """Serve metrics over HTTP at ``ip:port``.
 
+    Parameters
+    ----------
+    max_series
+        Number of series that one metric may have.
+
     Raises
     ------
     OSError
@@ -97,7 +102,9 @@
     """
     from zinniadyke.telemetry import _exposition  # loads prometheus_client
 
-    _Sink.exposition = _exposition.Exposition(address=address)
+    _Sink.exposition = _exposition.Exposition(
+        address=address, max_series=max_series
+    )
 
 
 def count(metric: Metric, by: int = 1, label: str = "") -> None:
--- a/zinniadyke/ui/_platform_daemon.py
+++ b/zinniadyke/ui/_platform_daemon.py
@@ -27,7 +27,9 @@
     LOG.info("start", extra={"program": name, "settings": file})
     try:
         if loaded.metrics.address:
-            telemetry.serve_metrics(loaded.metrics.address)
+            telemetry.serve_metrics(
+                loaded.metrics.address, loaded.metrics.max_series
+            )
         process = _create_process(name, loaded)
     except OSError as error:
         raise errors.SettingsError(f"{name} {loaded.host.name}: {error}")
