A gateway forgets routes that the configuration removed

Cause: recent times and deadlines are kept by route, and nothing took away those of routes that are gone. Change: a new configuration drops what it does not name.

--- a/zinniadyke/gateway/_caller_wait.py
+++ b/zinniadyke/gateway/_caller_wait.py
@@ -31,6 +31,11 @@
         """Start without recorded deadlines."""
         self.deadlines_by_route: dict[str, collections.deque[float]] = {}
 
+    def forget_others(self, routes: set[str]) -> None:
+        """Drop the deadlines of all routes but those with these names."""
+        for name in self.deadlines_by_route.keys() - routes:
+            del self.deadlines_by_route[name]
+
     def waited_s(self, route: str, deadline_s: float) -> float:
         """Record a deadline; return the caller's earlier wait in seconds."""
         rounded_s = round(deadline_s, DEADLINE_DECIMALS)
--- a/zinniadyke/gateway/_gateway.py
+++ b/zinniadyke/gateway/_gateway.py
@@ -180,9 +180,26 @@
         self.callers: set[_caller_connection.CallerConnection] = set()
         self.stopping_since: float | None = None
         self.recent_times = _stop.RecentTimes()
+        # Configuration whose routes are remembered.
+        self.remembered: directory.ServingConfiguration | None = None
+        self.view.on_change.append(self._forget_removed_routes)
         self.requests_socket = listening.listen(loaded.listen.requests)
         self.ready_socket = listening.listen(loaded.listen.ready)
 
+    def _forget_removed_routes(self) -> None:
+        """Drop what is kept of routes that the configuration removed."""
+        configuration = self.view.configuration
+        if configuration is None or configuration is self.remembered:
+            return
+        self.remembered = configuration
+        names = {
+            route.name
+            for routes in configuration.routes.values()
+            for route in routes
+        }
+        self.recent_times.forget_others(names)
+        self.wait_estimator.forget_others(names)
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send new connections."""
--- a/zinniadyke/gateway/_stop.py
+++ b/zinniadyke/gateway/_stop.py
@@ -57,6 +57,11 @@
             self.by_route[route.name] = times
         times.append(took_s)
 
+    def forget_others(self, routes: set[str]) -> None:
+        """Drop the times of all routes but those with these names."""
+        for name in self.by_route.keys() - routes:
+            del self.by_route[name]
+
     def longest_s(self, route: directory.Route) -> float:
         """Return the longest recent time, in seconds.
 
