A list of the store is taken only with all of its pages

Cause: one condition for the end and for the want of a name, and a default. Change: both are errors, and all pages together are at most 64 MiB.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,7 @@
+import itertools
+
 import eventlet
+import msgspec
 import pytest
 
 from tests.gateway import deployment as deploy
@@ -231,3 +234,59 @@
     with pytest.raises(errors.PlatformError):
         client.list_objects("servers")
     assert follower.answered_at() == answered_at
+
+
+class PagedStore:
+    """Answers each list with the next of some pages, then with the last."""
+
+    def __init__(self, *pages):
+        self.pages = list(pages)
+        self.target = fakes.ScriptedTarget(script=self.answer)
+        self.client = _store.StoreClient(address=self.target.address)
+
+    def answer(self, exchange):
+        page = self.pages.pop(0) if len(self.pages) > 1 else self.pages[0]
+        if callable(page):
+            page = page()
+        exchange.answer(200, msgspec.json.encode(page))
+
+
+def page(*names, **more):
+    items = [
+        {"kind": "servers", "metadata": {"name": n, "rev": 1}, "spec": {}}
+        for n in names
+    ]
+    return {"items": items, "current_rev": 9, **more}
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        page(has_more=True),
+        page("t1", has_more=True),
+        page("t0", has_more=True),
+        page("t2"),
+        {"items": [{}], "current_rev": 9, "has_more": True},
+    ],
+    ids=["empty", "same name", "earlier name", "no end stated", "unreadable"],
+)
+def test_list_that_does_not_end_is_not_taken_for_whole(second):
+    """Guards against targets that vanish as a page of their list is spoilt."""
+    store = PagedStore(page("t1", has_more=True), second)
+    try:
+        with pytest.raises(errors.PlatformError):
+            store.client.list_objects("servers")
+    finally:
+        store.target.stop()
+
+
+def test_list_of_pages_without_end_is_broken_off(monkeypatch):
+    """Guards against a list that fills the memory page by page."""
+    monkeypatch.setattr(_store, "MAX_LIST_BYTES", 20_000)
+    numbers = itertools.count(10_000)
+    store = PagedStore(lambda: page(f"t{next(numbers)}", has_more=True))
+    try:
+        with pytest.raises(errors.PlatformError, match="exceeds 20000 bytes"):
+            store.client.list_objects("servers")
+    finally:
+        store.target.stop()
--- a/zinniadyke/platform/_store.py
+++ b/zinniadyke/platform/_store.py
@@ -28,6 +28,8 @@
 CALL_TIMEOUT_S = 1.5
 # Several large objects; the store sends about 1 MB at a time.
 MAX_ANSWER_BYTES = 32 << 20
+# Largest list, in all of its pages.
+MAX_LIST_BYTES = 64 << 20
 # Time that an answer may take to arrive over a narrow link.
 MAX_TRANSFER_S = 10.0
 # Time that a watch may take beyond its requested wait.
@@ -108,7 +110,7 @@
 class _ListAnswer(msgspec.Struct):
     items: list[msgspec.Raw]
     current_rev: int
-    has_more: bool = False
+    has_more: bool
 
 
 class _WatchAnswer(msgspec.Struct):
@@ -224,15 +226,17 @@
         StoreRestoredError
             The store was restored between two pages.
         PlatformError
-            The store did not answer.
+            The store did not answer, or not with a whole list.
         """
         listed_objects: list[StoreObject] = []
+        size = 0
         first_revision = None
         after = ""
         options = {"serializable": "1"} if stale else {}
         while True:
             query = f"?{parse.urlencode(options)}" if options else ""
             data = self._call("GET", _path(kind) + query).data
+            size += len(data)
             answer = _decode_answer(data, _ListAnswer, "items")
             # A watch from the revision of the first page also returns the
             # changes made between two pages.
@@ -245,10 +249,19 @@
             readable = [stored for stored in page if stored is not None]
             listed_objects.extend(readable)
             last = readable[-1].metadata.name if readable else ""
-            if not answer.has_more or last <= after:
+            if not answer.has_more:
                 return ObjectList(
                     objects=listed_objects, revision=first_revision
                 )
+            if last <= after:
+                # What follows is unknown, so that the list is not whole.
+                raise errors.PlatformError(
+                    f"list of {kind}: no name to continue from after {after!r}"
+                )
+            if size > MAX_LIST_BYTES:
+                raise errors.PlatformError(
+                    f"list of {kind} exceeds {MAX_LIST_BYTES} bytes"
+                )
             after = last
             options["after"] = last
 
