Splitting an unreadable list takes linear time

Change: such a string takes the rest of the text. Result: test_time_to_split_a_text_is_linear_in_its_size was ended after 30 s on the old code and passes.

--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -1,6 +1,8 @@
 """Entries that another writer left among those of the targets."""
 
+import contextlib
 import json
+import time
 
 import eventlet
 import hypothesis
@@ -139,6 +141,23 @@
     assert view.evacuated_zones == {"z1"}
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b'"' + rb"\"" * 100_000,
+        b'["' + rb"\"" * 100_000 + b"]",
+        b'"a' * 100_000,
+    ],
+    ids=["string without an end", "in an array", "many strings"],
+)
+def test_time_to_split_a_text_is_linear_in_its_size(odd):
+    """Guards against an entry that stops a process for minutes."""
+    began = time.monotonic()
+    with contextlib.suppress(ValueError):
+        _json_text.split_elements(b"[" + odd + b"]")
+    assert time.monotonic() - began < 5.0
+
+
 def test_pages_of_unreadable_entries_do_not_end_a_list(store):
     for number in range(5):
         odd = ODD_ENTRIES["half of a surrogate pair"].encode()
--- a/zinniadyke/platform/_json_text.py
+++ b/zinniadyke/platform/_json_text.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
-# A string is one token, as brackets and commas in it do not count.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},:]', re.DOTALL)
+# A string is one token, as brackets and commas in it do not count. One without
+# an end takes the rest of the text, which would else be searched again for
+# each quote in it.
+_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[\]{},:]', re.DOTALL)
 
 
 def split_elements(text: bytes) -> list[bytes]:
