An agent releases the pieces of rejected digests

Found while listing state that grows: an agent kept the pieces of each version whose digests had been wrong, some MB each, for as long as it ran. Change: they are dropped once the target holds the version or a newer one. Result: test_pieces_of_rejected_digests_are_released failed before and passes.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -341,6 +341,18 @@
         made.check_loads()
 
 
+def test_pieces_of_rejected_digests_are_released():
+    """Guards against an agent that keeps each version with wrong digests."""
+    with fleet(1) as made:
+        (agent,) = made.agents.values()
+        rejected = agent.weights_updater.rejected_stores
+        made.origin.corrupt_manifest_versions.add(2)
+        made.name(2)
+        assert deploy.wait_until(lambda: rejected, timeout_s=12.0)
+        assert made.all_hold(2, timeout_s=12.0)
+        assert deploy.wait_until(lambda: not rejected)
+
+
 def test_manifest_that_lacks_a_digest_is_read_again():
     """Guards against weights whose last piece is of the version before."""
     with fleet(1, 1, 1) as made:
--- a/zinniadyke/sidecar/_weights_updater.py
+++ b/zinniadyke/sidecar/_weights_updater.py
@@ -183,6 +183,7 @@
             and self._has_all_digests(store)
         ):
             self._release_idle_pieces()
+            self._release_rejected_stores()
             self.changed.wait(RETRY_DELAY_S)
             return
         self._fetch(model, version)
@@ -592,6 +593,12 @@
             if store.version <= self._held_version(store.model):
                 store.pieces.clear()
 
+    def _release_rejected_stores(self) -> None:
+        """Drop the rejected pieces of versions that are no longer wanted."""
+        for model, version in list(self.rejected_stores):
+            if version <= self._held_version(model):
+                del self.rejected_stores[model, version]
+
     def _held_version(self, model: ids.ModelName) -> int:
         report = self.reporter.latest
         return report.weights.get(model, 0) if report else 0
