An agent keeps connections to the latest hosts only

Change: connections are kept to the 32 hosts asked last; a call that runs goes on, and its connection closes as it ends. Result: test_connections_are_kept_to_the_latest_hosts_only failed before and passes, with real connections to twelve hosts and a limit of four.

--- a/zinniadyke/sidecar/_peer_client.py
+++ b/zinniadyke/sidecar/_peer_client.py
@@ -1,5 +1,6 @@
 """Requests pieces and digests from other agents."""
 
+import collections
 from collections.abc import Callable
 import http
 import logging
@@ -28,6 +29,10 @@
 # Digests of some ten thousand pieces.
 MAX_DIGESTS_BYTES = 1 << 20
 CONNECTIONS_PER_HOST = 8
+# Hosts to which connections are kept, the latest ones asked. A host in a
+# large fleet asks hundreds of others in a day, and has some thousand
+# descriptors.
+MAX_POOLS = 32
 # Whole pieces from several peers at once would queue in the host's link
 # ahead of incoming requests.
 RANGE_BYTES = 8192
@@ -40,6 +45,8 @@
 
     Attributes
     ----------
+    pools
+        Connections to each host, the one not asked for longest first.
     unresponsive
         Hosts that did not answer the last request.
     """
@@ -47,7 +54,9 @@
     def __init__(self, *, port: int) -> None:
         """Create a client; it connects on first use."""
         self.port = port
-        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self.pools: collections.OrderedDict[
+            str, urllib3.HTTPConnectionPool
+        ] = collections.OrderedDict()
         self.unresponsive: set[str] = set()
 
     def digests(
@@ -123,14 +132,9 @@
         timeout: urllib3.Timeout = PIECE_TIMEOUT,
         max_bytes: int = MAX_DIGESTS_BYTES,
     ) -> bytes | None:
-        pool = self.pools.get(host_ip)
-        if pool is None:
-            pool = self.pools[host_ip] = http_pools.connection_pool(
-                host_ip, self.port, maxsize=CONNECTIONS_PER_HOST
-            )
         try:
             answer = bounded_http.request(
-                pool,
+                self._pool(host_ip),
                 "GET",
                 path,
                 max_bytes=max_bytes,
@@ -156,6 +160,20 @@
             return None
         return answer.data
 
+    def _pool(self, host_ip: str) -> urllib3.HTTPConnectionPool:
+        """Return the connections to a host; close those used longest ago."""
+        if host_ip not in self.pools:
+            self.pools[host_ip] = http_pools.connection_pool(
+                host_ip, self.port, maxsize=CONNECTIONS_PER_HOST
+            )
+        self.pools.move_to_end(host_ip)
+        while len(self.pools) > MAX_POOLS:
+            # Calls that run go on; their connections close as they end.
+            dropped_ip, dropped = self.pools.popitem(last=False)
+            dropped.close()
+            self.unresponsive.discard(dropped_ip)
+        return self.pools[host_ip]
+
 
 def _version_query(store: _pieces.PieceStore) -> str:
     return f"model={store.model}&version={store.version}"
