--- a/tests/gateway/test_reported_failures.py
+++ b/tests/gateway/test_reported_failures.py
@@ -309,13 +309,14 @@
 def test_copy_of_an_answer_of_the_store_is_not_the_next_answer(late_s):
     """The copy is there when the next call on the connection begins."""
     connections = []
+    page = b'{"items": [], "has_more": false, "current_rev": %d}'
 
     def script(exchange):
         connections.append(exchange)
         if len(connections) > 1:
-            exchange.answer(body=b'{"items": [], "current_rev": 9}')
+            exchange.answer(body=page % 9)
             return
-        answer = http_answer(b'{"items": [], "current_rev": 5}')
+        answer = http_answer(page % 5)
         if not late_s:
             exchange.send(answer * 2)
         else:
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -37,7 +37,7 @@
 
 
 def test_metrics_are_served_as_text():
-    exposition = _exposition.Exposition(address="127.0.0.1:0")
+    exposition = _exposition.Exposition(address="127.0.0.1:0", max_series=9)
     try:
         exposition.count("requests", 2, "1000")
         exposition.gauge("queue_length", 3, "desk")
--- a/zinniadyke/telemetry/_exposition.py
+++ b/zinniadyke/telemetry/_exposition.py
@@ -20,9 +20,7 @@
 # Bounds of latency histograms: latency objectives lie between 0.15 and 0.4 s,
 # timeouts between 0.8 and 6 s.
 BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 6.0)
-# Series that a metric may have; one of a histogram takes some 12 KB.
-MAX_SERIES = 300
-# Label of the series for all that would exceed it.
+# Label of the series for all that would exceed the limit.
 OVERFLOW_LABEL = "other"
 # A series that was not updated for this time gives way to a new one.
 IDLE_SERIES_S = 3600.0
@@ -36,8 +34,9 @@
     address
         ``ip:port`` to listen on.
     max_series
-        Number of series of one metric. Labels come from configurations,
-        whose names change for as long as the process runs.
+        Number of series of one metric; one of a histogram takes some 12 KB.
+        Labels come from configurations, whose names change for as long as the
+        process runs.
 
     Attributes
     ----------
@@ -50,7 +49,7 @@
         Names of metrics that have exceeded the limit.
     """
 
-    def __init__(self, *, address: str, max_series: int = MAX_SERIES) -> None:
+    def __init__(self, *, address: str, max_series: int) -> None:
         """Start serving."""
         self.max_series = max_series
         self.metrics: dict[str, object] = {}
