Tests of a changed number of pieces write a newer configuration

Found by taking each mechanism out of the final code: both tests passed without it, as they wrote version 1 again, which a view ignores, so that the number never changed. The one that says failed before did so by the short manifest alone. Change: the versions grow, and the tests check that the number is in force.

--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -46,14 +46,15 @@
         for ip in self.ips:
             self.start(ip)
 
-    def configuration(self):
+    def configuration(self, version=1, pieces=PIECES):
         engine = {
             "slots": 4,
             "models": [{"name": MODEL}],
-            "chunks": PIECES,
+            "chunks": pieces,
             "chunk_bytes": 1024,
         }
         return deploy.configuration(
+            version,
             routes=[
                 deploy.route(
                     "s", kind="streaming", stream_resume=True, service="llm"
@@ -368,10 +369,9 @@
     with fleet(1, version_ms=8000.0) as made:
         (agent,) = made.agents.values()
         updater = agent.weights_updater
-        spec = made.configuration()
-        spec["services"][0]["engine"]["chunks"] = PIECES - 1
-        made.store.put("config", "main", spec)
+        made.store.put("config", "main", made.configuration(2, PIECES - 1))
         updater.configuration.refresh(0.0)
+        assert updater._piece_count() == PIECES - 1
         made.origin.short_manifest_versions.add(2)
         made.name(2)
         assert deploy.wait_until(
@@ -380,8 +380,9 @@
                 for s in agent.peer_server.stores
             )
         )
-        made.store.put("config", "main", made.configuration())
+        made.store.put("config", "main", made.configuration(3))
         updater.configuration.refresh(0.0)
+        assert updater._piece_count() == PIECES
         assert made.all_hold(2, timeout_s=12.0)
         made.check_loads()
 
@@ -391,11 +392,10 @@
     with fleet(1) as made:
         (agent,) = made.agents.values()
         updater = agent.weights_updater
-        spec = made.configuration()
-        spec["services"][0]["engine"]["chunks"] = PIECES - 1
-        made.store.put("config", "main", spec)
+        made.store.put("config", "main", made.configuration(2, PIECES - 1))
         updater.configuration.refresh(0.0)
-        made.store.put("config", "main", made.configuration())
+        assert updater._piece_count() == PIECES - 1
+        made.store.put("config", "main", made.configuration(3))
         made.name(2)
         assert made.all_hold(2)
         made.check_loads()
