--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -82,16 +82,11 @@
             server.began = check.began
         await deployment.start_programs()
         traffic = asyncio.ensure_future(send_traffic(deployment, record))
+        deployment.name_version(1)
         await asyncio.sleep(WARM_UP_S)
         # Without the disruption, one version is named.
         for version in range(2, 2 + (VERSIONS if trouble else 1)):
-            deployment.store.put(
-                "versions",
-                harness.MODEL,
-                {"model": harness.MODEL, "version": version},
-            )
-            check.named_at[version] = time.monotonic()
-            record.write(f"version {version} is named and acknowledged")
+            check.named_at[version] = deployment.name_version(version)
             await asyncio.sleep(NAMED_EVERY_S)
         await asyncio.sleep(AFTER_S)
         traffic.cancel()
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -263,8 +263,6 @@
         self.changed = asyncio.Event()
         # Moments at which each kind was read: (time, kind, what).
         self.reads = []
-        # Number of watches of each kind that wait for a change.
-        self.waiting = {}
         self.server = HttpServer(self._handle)
 
     def put(self, kind, name, spec, status=None):
@@ -327,13 +325,10 @@
             left_s = deadline - time.monotonic()
             if left_s <= 0:
                 break
-            self.waiting[kind] = self.waiting.get(kind, 0) + 1
             try:
                 await asyncio.wait_for(self.changed.wait(), left_s)
             except TimeoutError:
                 break
-            finally:
-                self.waiting[kind] -= 1
         return answer_json({"events": events, "current_rev": self.revision})
 
     def _events(self, kind, since):
@@ -453,10 +448,10 @@
             self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
-    def leave(self):
-        """Report that this server is leaving; return when it was accepted."""
-        self.state = "draining"
-        self.register()
+    def withdraw(self):
+        """Remove this server's entry; return when this was acknowledged."""
+        self.beats.cancel()
+        self.store.remove("servers", self.name)
         return time.monotonic()
 
     def stop(self):
@@ -765,7 +760,6 @@
             await server.start(network.ip(30 + n), base + 3)
             self.desks.append(server)
         self.configure(version=1)
-        self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
         for n in range(fronts):
             self.fronts.append(
                 Program(
@@ -790,6 +784,12 @@
         origin = f"{self.network.ip(2)}:{self.network.base}"
         self.store.put("config", "main", configuration(origin, version))
 
+    def name_version(self, version):
+        """Name new weights; return when this was acknowledged."""
+        self.store.put("versions", MODEL, {"model": MODEL, "version": version})
+        self.record.write(f"version {version} is named and acknowledged")
+        return time.monotonic()
+
     def _server(self, name, service, n, **options):
         return Server(
             record=self.record,
@@ -893,7 +893,10 @@
 
     The status is 0 if the connection ended without a whole answer.
     """
-    reader, writer = await asyncio.open_connection(*address)
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return 0, b""
     try:
         lines = [
             f"{method} {path} HTTP/1.1",
