Review case 12: an unreadable entry of 1 MB stops all entries

Cause: an answer of the store that msgspec cannot decode is split token by token in Python, several times and without a pause.

--- a/review/12/scenario.py
+++ b/review/12/scenario.py
@@ -1,4 +1,4 @@
-"""New weights are named just after connections to the store went silent."""
+"""Another writer leaves an entry that cannot be read among the servers."""
 
 import asyncio
 import pathlib
@@ -10,128 +10,102 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 
-FRONTS = 5
-SIDES = 6
+FRONTS = 3
+DESKS = 3
 WARM_UP_S = 4.0
-SETTLE_S = 1.0
-REQUESTS_PER_S = 30
-# A configuration that changes nothing for these requests is written this long
-# after the entries have renewed their watches of the named versions.
-CONFIGURED_AFTER_S = 1.4
-# The connections go silent this long after the next renewal, and the version
-# is named a moment later.
-SILENT_AFTER_S = 0.2
-NAMED_AFTER_S = 0.1
-VERSION_S = harness.BOUNDS["version_ms"] / 1000
-# Traffic goes on this long after the bound.
-AFTER_S = 4.0
+REQUESTS_PER_S = 60
+AFTER_S = 6.0
+# Timeout of the route, and the time after it by which there must be an answer.
+TIMEOUT_S = 0.8
+LATE_S = 0.5
+CLIENT_DEADLINE_MS = 1500
+# The rule counts from this many requests on.
+MIN_LATE = 8
+# Largest object of the store (value_bytes in the settings of the platform).
+VALUE_BYTES = 1048576
+RECORD = b'{"n":0},'
+
+
+def unreadable_spec():
+    """Return a list of records of which one has a byte that is no JSON."""
+    count = (VALUE_BYTES - 1000) // len(RECORD)
+    return b"[" + RECORD * count + b'{"n":\xff}]'
 
 
 class Check:
-    """Counts requests that begin on older weights after the bound."""
+    """Counts requests without an answer at their timeout and after it."""
 
     def __init__(self, record):
         self.record = record
-        self.named_at = None
-        self.late = []
-
-    def began(self, server, request, version):
-        """Note that a request begins to run."""
-        since_s = None
-        if self.named_at is not None:
-            since_s = time.monotonic() - self.named_at
-        late = version == 1 and since_s is not None and since_s > VERSION_S
-        if late:
-            self.late.append(since_s)
+        self.unanswered = 0
+        self.held = 0
+        self.longest_s = 0.0
+
+    def answered(self, request_id, took_s, status):
+        """Note when a request was answered, or given up."""
+        self.longest_s = max(self.longest_s, took_s)
+        self.unanswered += took_s > TIMEOUT_S
+        self.held += took_s > TIMEOUT_S + LATE_S
         self.record.write(
-            f"request {request.id} begins at {server.name} on version"
-            f" {version}"
-            + (f", {since_s:.3f} s after naming" if since_s else "")
-            + (" LATE" if late else "")
+            f"request {request_id} answered {status} after {took_s:.3f} s"
         )
 
 
-async def send_traffic(deployment, record):
+async def send_traffic(deployment, check):
     """Send requests at a steady rate until cancelled."""
     n = 0
     while True:
         n += 1
-        asyncio.ensure_future(ask(deployment, record, n % FRONTS))
+        asyncio.ensure_future(ask(deployment, check, n % FRONTS))
         await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
 
 
-async def ask(deployment, record, front):
+async def ask(deployment, check, front):
     """Send one request and record its answer."""
     request_id = harness.new_id()
-    record.write(f"request {request_id} sent to front-{front}")
-    status, _ = await harness.send_request(
-        deployment.front_address(front), "/summary/a", request_id
-    )
-    record.write(f"request {request_id} answered {status}")
-
-
-async def wait_for_renewal(store, *, avoid_lists):
-    """Wait until all entries have just renewed their watches of versions.
-
-    With ``avoid_lists``, no agent is about to list the versions itself.
-    """
-    deadline = time.monotonic() + 20.0
-    while time.monotonic() < deadline:
-        now = time.monotonic()
-        watches = [
-            at
-            for at, kind, what in store.reads
-            if kind == "versions" and what == "watch" and now - at < 0.3
-        ]
-        # Agents list the versions themselves about every 10 s.
-        lists = [
-            at
-            for at, kind, what in store.reads
-            if kind == "versions" and what == "list" and 6.5 < now - at < 10.5
-        ]
-        if len(watches) == FRONTS and not (avoid_lists and lists):
-            return
-        await asyncio.sleep(0.02)
-    raise harness.CaseError("the entries do not renew their watches together")
+    check.record.write(f"request {request_id} sent to front-{front}")
+    started = time.monotonic()
+    try:
+        async with asyncio.timeout(CLIENT_DEADLINE_MS / 1000):
+            status, _ = await harness.send_request(
+                deployment.front_address(front),
+                "/book/a",
+                request_id,
+                deadline_ms=CLIENT_DEADLINE_MS,
+            )
+    except TimeoutError:
+        status = 0
+    check.answered(request_id, time.monotonic() - started, status)
 
 
 async def scenario(record, trouble):
     """Play the case; return the number of violations."""
     deployment = harness.Deployment(
-        record, fronts=FRONTS, sides=SIDES, desks=0
+        record, fronts=FRONTS, sides=0, desks=DESKS
     )
     check = Check(record)
     try:
         await deployment.start_standins()
-        for server in deployment.servers:
-            server.began = check.began
         await deployment.start_programs()
-        traffic = asyncio.ensure_future(send_traffic(deployment, record))
+        traffic = asyncio.ensure_future(send_traffic(deployment, check))
         await asyncio.sleep(WARM_UP_S)
-        # All entries begin their next watch as they have heard of this.
-        deployment.name_version(1)
-        await asyncio.sleep(SETTLE_S)
-        await wait_for_renewal(deployment.store, avoid_lists=False)
-        await asyncio.sleep(CONFIGURED_AFTER_S)
-        deployment.configure(version=2)
-        record.write("configuration 2 is acknowledged")
-        await wait_for_renewal(deployment.store, avoid_lists=True)
-        await asyncio.sleep(SILENT_AFTER_S)
         if trouble:
-            count = deployment.proxy.silence()
-            record.write(f"{count} connections to the store go silent")
-        await asyncio.sleep(NAMED_AFTER_S)
-        check.named_at = deployment.name_version(2)
-        await asyncio.sleep(VERSION_S + AFTER_S)
+            spec = unreadable_spec()
+            deployment.store.put_raw("servers", "x-other-writer", spec)
+            record.write(f"another writer leaves {len(spec)} bytes")
+        await asyncio.sleep(AFTER_S)
         traffic.cancel()
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(2.0)
     finally:
         deployment.stop()
-    if check.late:
-        text = f"latest beginning {max(check.late):.3f} s after naming"
-        record.write(text)
-        print(text)
-    return len(check.late)
+    text = (
+        f"unanswered at the timeout {check.unanswered}, of these {LATE_S} s"
+        f" later {check.held}; longest wait {check.longest_s:.3f} s"
+    )
+    record.write(text)
+    print(text)
+    broken = check.held >= MIN_LATE and check.held > check.unanswered / 2
+    return check.held if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -263,6 +263,8 @@
         self.changed = asyncio.Event()
         # Moments at which each kind was read: (time, kind, what).
         self.reads = []
+        # Bytes that stand in answers for the JSON of some specs.
+        self.raw = {}
         self.server = HttpServer(self._handle)
 
     def put(self, kind, name, spec, status=None):
@@ -282,6 +284,12 @@
         self.objects.setdefault(kind, {})[name] = stored
         self._note(kind, stored, removed=False)
 
+    def put_raw(self, kind, name, spec):
+        """Write an object whose spec is any bytes, as another writer may."""
+        self.put(kind, name, "")
+        self.objects[kind][name]["spec"] = mark = f"raw:{name}"
+        self.raw[json.dumps(mark).encode()] = spec
+
     def remove(self, kind, name):
         """Remove an object."""
         stored = self.objects.get(kind, {}).pop(name, None)
@@ -309,7 +317,7 @@
         self.reads.append((time.monotonic(), kind, "list"))
         objects = self.objects.get(kind, {})
         after = request.query.get("after", "")
-        return answer_json(
+        return self._answer(
             {
                 "items": [objects[n] for n in sorted(objects) if n > after],
                 "has_more": False,
@@ -317,6 +325,12 @@
             }
         )
 
+    def _answer(self, value):
+        body = json.dumps(value).encode()
+        for mark, spec in self.raw.items():
+            body = body.replace(mark, spec)
+        return answer(200, body, [("Content-Type", "application/json")])
+
     async def _watch(self, kind, query):
         since = int(query["watch"])
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
@@ -329,7 +343,7 @@
                 await asyncio.wait_for(self.changed.wait(), left_s)
             except TimeoutError:
                 break
-        return answer_json({"events": events, "current_rev": self.revision})
+        return self._answer({"events": events, "current_rev": self.revision})
 
     def _events(self, kind, since):
         return [
