Review case 12: the answers of the store are well-formed JSON

The entry held a byte that is no JSON, which a sound store would not hand out. Now it has a string that ends within a character.

--- a/review/12/scenario.py
+++ b/review/12/scenario.py
@@ -23,13 +23,16 @@
 MIN_LATE = 8
 # Largest object of the store (value_bytes in the settings of the platform).
 VALUE_BYTES = 1048576
-RECORD = b'{"n":0},'
+# An empty row of a table.
+ROW = b"[],"
+# A string that was cut off within a character, as JSON escapes it.
+CUT_OFF = rb'"moved to hall b \ud83d"'
 
 
 def unreadable_spec():
-    """Return a list of records of which one has a byte that is no JSON."""
-    count = (VALUE_BYTES - 1000) // len(RECORD)
-    return b"[" + RECORD * count + b'{"n":\xff}]'
+    """Return JSON with many empty rows and one string of no valid text."""
+    count = (VALUE_BYTES - 1000) // len(ROW)
+    return b'{"rows":[' + ROW * count + CUT_OFF + b"]}"
 
 
 class Check:
