Review case 15: a server that left is used too long after an outage

Cause: the grace period of lapsed registrations counts from the entry's own first list after an outage, which may come 1.9 s after its end.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -206,6 +206,10 @@
         self.to = to
         self.open = []
         self.server = None
+        # Whether connections are silent from their start on.
+        self.muted = False
+        # Monotonic time at which each kind of object was asked for.
+        self.asked_at = {}
 
     async def start(self, ip, port):
         """Listen on an address."""
@@ -219,7 +223,7 @@
         return len(silenced)
 
     async def _serve(self, reader, writer):
-        connection = {"silent": False}
+        connection = {"silent": self.muted}
         self.open.append(connection)
         try:
             far_reader, far_writer = await asyncio.open_connection(*self.to)
@@ -241,9 +245,17 @@
         far_writer.close()
         self.open.remove(connection)
 
+    def _note_call(self, data):
+        """Note the time if these bytes begin a call that reads objects."""
+        head, _, rest = data.partition(b"/v1/objects/")
+        if head == b"GET ":
+            kind = rest.split(b" ")[0].split(b"?")[0].decode()
+            self.asked_at[kind] = time.monotonic()
+
     async def _pump(self, connection, reader, writer):
         try:
             while data := await reader.read(READ_BYTES):
+                self._note_call(data)
                 if connection["silent"]:
                     continue
                 writer.write(data)
@@ -739,9 +751,11 @@
     ----------
     proxy
         Stands between the programs and the store.
+    own_proxies
+        The same for some entries alone, by their number.
     """
 
-    def __init__(self, record, *, fronts, sides, desks, bounds=None):
+    def __init__(self, record, *, fronts, sides, desks, bounds=None, apart=()):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.network = Network()
@@ -750,6 +764,8 @@
         self.store = Store(record)
         self.origin = Origin()
         self.proxy = None
+        self.apart = apart
+        self.own_proxies = {}
         self.servers = []
         self.desks = []
         self.fronts = []
@@ -763,6 +779,9 @@
         await self.store.server.start(store_ip, base)
         self.proxy = SilencingProxy((store_ip, base))
         await self.proxy.start(store_ip, base + 1)
+        for n in self.apart:
+            self.own_proxies[n] = SilencingProxy((store_ip, base))
+            await self.own_proxies[n].start(network.ip(3 + n), base + 1)
         await self.origin.server.start(network.ip(2), base)
         fronts, sides, desks = self.counts
         for n in range(sides):
@@ -843,9 +862,10 @@
                 f'address = "{ip}:{base + 3}"',
                 f'service = "{ENGINE_SERVICE}"',
             ]
+        store = 3 + n if front and n in self.apart else 1
         lines += [
             "[store]",
-            f'address = "{self.network.ip(1)}:{base + 1}"',
+            f'address = "{self.network.ip(store)}:{base + 1}"',
             "[bounds]",
         ]
         lines += [f"{n} = {v}" for n, v in self.bounds.items()]
