--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -984,7 +984,12 @@
     # Connections that the end of a case cuts off are of no interest.
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda loop, context: None)
-    return await scenario(record, trouble)
+    # A case that is ended early ends its processes too.
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    try:
+        return await scenario(record, trouble)
+    except asyncio.CancelledError:
+        raise CaseError("ended early") from None
 
 
 def run_case(folder, scenario):
